--- a/basilhall/store/internal/base64.cpp
+++ b/basilhall/base/base64.cpp
@@ -1,8 +1,8 @@
-#include "basilhall/store/internal/base64.h"
+#include "basilhall/base/base64.h"
 
 #include <openssl/evp.h>
 
-namespace basilhall::store
+namespace basilhall
 {
 
 namespace
@@ -55,4 +55,4 @@
     return bytes;
 }
 
-} // namespace basilhall::store
+} // namespace basilhall
--- a/basilhall/store/internal/base64.h
+++ b/basilhall/base/base64.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace basilhall::store
+namespace basilhall
 {
 
 std::string encodeBase64(std::string_view bytes);
@@ -13,4 +13,4 @@
 // Returns nothing if `text` is not base64 with padding.
 std::optional<std::string> decodeBase64(std::string_view text);
 
-} // namespace basilhall::store
+} // namespace basilhall
--- a/basilhall/command/run_process.cpp
+++ b/basilhall/command/run_process.cpp
@@ -2,6 +2,8 @@
 #include "basilhall/command/internal/files.h"
 #include "basilhall/command/subcommand.h"
 #include "basilhall/settings/parser.h"
+#include "platform/run_gateway.h"
+#include "platform/run_steward.h"
 
 #ifdef BASILHALL_HAS_ENTRY
 #include "basilhall/entry/run_entry.h"
@@ -79,6 +81,22 @@
 #endif
 }
 
+ExitCode runGatewayCommand(const Arguments &arguments, const Streams &streams)
+{
+    ExitCode code = ExitCode::Ok;
+    const auto settings =
+        readSettings<settings::GatewaySettings>("gateway", arguments, streams, code);
+    return settings ? static_cast<ExitCode>(platform::runGateway(*settings)) : code;
+}
+
+ExitCode runStewardCommand(const Arguments &arguments, const Streams &streams)
+{
+    ExitCode code = ExitCode::Ok;
+    const auto settings =
+        readSettings<settings::StewardSettings>("steward", arguments, streams, code);
+    return settings ? static_cast<ExitCode>(platform::runSteward(*settings)) : code;
+}
+
 ExitCode runAgentCommand(const Arguments &arguments, const Streams &streams)
 {
     ExitCode code = ExitCode::Ok;
--- a/basilhall/command/subcommand.cpp
+++ b/basilhall/command/subcommand.cpp
@@ -17,6 +17,9 @@
 constexpr std::array kSubcommands{
     Subcommand{"entry", "Runs the process of an entry host.", runEntryCommand},
     Subcommand{"agent", "Runs the process beside an endpoint.", runAgentCommand},
+    Subcommand{"gateway", "Carries callers' requests on the users' platform.", runGatewayCommand},
+    Subcommand{"steward", "Answers for a host with a disk on the users' platform.",
+               runStewardCommand},
     Subcommand{"check", "Checks manifests and settings and lists every fault.", runCheck},
     Subcommand{"publish", "Publishes a manifest.", runPublish},
     Subcommand{"status", "Shows what each process has in force.", runStatus},
--- a/basilhall/command/subcommand.h
+++ b/basilhall/command/subcommand.h
@@ -30,6 +30,8 @@
 
 ExitCode runEntryCommand(const Arguments &arguments, const Streams &streams);
 ExitCode runAgentCommand(const Arguments &arguments, const Streams &streams);
+ExitCode runGatewayCommand(const Arguments &arguments, const Streams &streams);
+ExitCode runStewardCommand(const Arguments &arguments, const Streams &streams);
 ExitCode runCheck(const Arguments &arguments, const Streams &streams);
 ExitCode runPublish(const Arguments &arguments, const Streams &streams);
 ExitCode runStatus(const Arguments &arguments, const Streams &streams);
--- /dev/null
+++ b/basilhall/fleet/endpoint_directory_test.cpp
@@ -0,0 +1,50 @@
+#include "basilhall/fleet/endpoint_directory.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace basilhall;
+using namespace basilhall::fleet;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const Instant kStart{};
+
+Endpoint endpoint(const std::string &name)
+{
+    Endpoint made;
+    made.name = EndpointName(name);
+    return made;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(endpoint_directory)
+
+BOOST_AUTO_TEST_CASE(lapsedRegistrationsCountUntilTheGraceEnds)
+{
+    EndpointDirectory directory(2s);
+    directory.replaceAll({endpoint("a"), endpoint("b"), endpoint("c")}, false, kStart);
+    directory.replaceAll({endpoint("a")}, true, kStart + 10s);
+    BOOST_TEST(directory.endpoints().size() == 3U);
+    directory.set(endpoint("b"));
+    BOOST_TEST(directory.expire(kStart + 11s).empty());
+    const auto dropped = directory.expire(kStart + 12s);
+    BOOST_TEST_REQUIRE(dropped.size() == 1U);
+    BOOST_TEST(dropped.front() == EndpointName("c"));
+    BOOST_TEST(directory.find(EndpointName("b")));
+    BOOST_TEST(!directory.find(EndpointName("c")));
+}
+
+BOOST_AUTO_TEST_CASE(removalCountsAtOnceWithoutAnOutage)
+{
+    EndpointDirectory directory(2s);
+    directory.replaceAll({endpoint("a"), endpoint("b")}, false, kStart);
+    directory.remove(EndpointName("a"), kStart);
+    BOOST_TEST(!directory.find(EndpointName("a")));
+    directory.replaceAll({}, false, kStart + 1s);
+    BOOST_TEST(directory.endpoints().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/basilhall/fleet/route.h
@@ -0,0 +1,57 @@
+// Where requests of one path go, and what holds for them.
+#pragma once
+
+#include "basilhall/base/time.h"
+#include "basilhall/fleet/call_kind.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace basilhall::fleet
+{
+
+// A service and its part of the requests of a route.
+struct WeightedService {
+    std::string service;
+    std::uint32_t weight = 0;
+
+    auto operator<=>(const WeightedService &) const = default;
+};
+
+// Immutable value.
+struct Route {
+    std::string name;
+    std::string host;
+    // Begins and ends with a slash.
+    std::string pathPrefix;
+    CallKind kind = CallKind::NonIdempotent;
+    // Longest time from a request's arrival to the end of its answer.
+    Duration timeout{};
+    // Endpoints on which one request may run.
+    std::uint32_t maxAttempts = 1;
+    // 0 is the most urgent.
+    std::uint32_t priority = 0;
+    // At least one.
+    std::vector<WeightedService> services;
+    // Needs no key.
+    bool isPublic = false;
+    // A broken stream may go on at another endpoint.
+    bool isResumable = false;
+    // The turns are kept; a turn names the one before it.
+    bool keepsTurns = false;
+    // Time for which a turn is kept after its end.
+    Duration retention{};
+
+    auto operator<=>(const Route &) const = default;
+};
+
+// True if a request of the route may run again after it may have run.
+constexpr bool isRepeatable(const Route &route)
+{
+    return route.kind == CallKind::Idempotent
+        || (route.kind == CallKind::Stream && route.isResumable);
+}
+
+} // namespace basilhall::fleet
--- /dev/null
+++ b/basilhall/fleet/team.h
@@ -0,0 +1,27 @@
+// A team, its keys and its limit.
+#pragma once
+
+#include "basilhall/base/identifier.h"
+#include "basilhall/limit/rate.h"
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace basilhall::fleet
+{
+
+// Immutable value.
+struct Team {
+    TeamName name;
+    std::vector<std::string> keys;
+    // Goes before the priority of a route.
+    std::optional<std::uint32_t> priority;
+    // Nothing if the team has no limit.
+    std::optional<limit::Rate> rate;
+
+    auto operator<=>(const Team &) const = default;
+};
+
+} // namespace basilhall::fleet
--- /dev/null
+++ b/basilhall/gateway/fleet_state.cpp
@@ -0,0 +1,163 @@
+#include "basilhall/gateway/fleet_state.h"
+
+#include <algorithm>
+#include <set>
+
+namespace basilhall::gateway
+{
+
+namespace
+{
+
+// Time to come back where the limit is 0.
+constexpr Duration kClosedTeamRetry = std::chrono::seconds(5);
+
+} // namespace
+
+FleetState::FleetState(Incarnation self, FailureDomain domain)
+    : m_self(self)
+    , m_directory(kRegistrationGrace)
+    , m_placement(std::move(domain))
+    , m_budgets(std::move(self))
+{
+}
+
+bool FleetState::applyPolicy(const fleet::PolicyPtr &policy, Instant now)
+{
+    if (m_policy && policy->version() <= m_policy->version()) {
+        return false;
+    }
+    m_policy = policy;
+    for (const fleet::Team &team : policy->content().teams) {
+        const auto found = m_rates.find(team.name);
+        if (!team.rate) {
+            m_rates.erase(team.name);
+        } else if (found != m_rates.end()) {
+            found->second.setRate(*team.rate, now);
+        } else {
+            limit::SharedRate &rate = m_rates.try_emplace(team.name, *team.rate, now).first->second;
+            rate.setShare(1, m_isWhole ? 1 : m_members, now);
+        }
+    }
+    std::erase_if(m_rates, [&policy](const auto &entry) {
+        return policy->findTeam(entry.first) == nullptr;
+    });
+    placeAll();
+    return true;
+}
+
+void FleetState::place(const fleet::Endpoint &endpoint)
+{
+    const fleet::Service *service = m_policy ? m_policy->findService(endpoint.service) : nullptr;
+    m_placement.setEndpoint(endpoint, service != nullptr ? service->engine : std::nullopt);
+}
+
+void FleetState::placeAll()
+{
+    for (const auto &[name, endpoint] : m_directory.endpoints()) {
+        place(endpoint);
+    }
+}
+
+void FleetState::replaceEndpoints(const std::vector<fleet::Endpoint> &listed, bool afterOutage,
+                                  Instant now)
+{
+    std::vector<EndpointName> before;
+    for (const auto &[name, endpoint] : m_directory.endpoints()) {
+        before.push_back(name);
+    }
+    m_directory.replaceAll(listed, afterOutage, now);
+    for (const EndpointName &name : before) {
+        if (m_directory.find(name) == nullptr) {
+            m_placement.removeEndpoint(name);
+        }
+    }
+    placeAll();
+}
+
+void FleetState::setEndpoint(const fleet::Endpoint &endpoint)
+{
+    m_directory.set(endpoint);
+    place(endpoint);
+}
+
+void FleetState::removeEndpoint(const EndpointName &name, Instant now)
+{
+    m_directory.remove(name, now);
+    if (m_directory.find(name) == nullptr) {
+        m_placement.removeEndpoint(name);
+    }
+}
+
+std::size_t FleetState::expireEndpoints(Instant now)
+{
+    const std::vector<EndpointName> dropped = m_directory.expire(now);
+    for (const EndpointName &name : dropped) {
+        m_placement.removeEndpoint(name);
+    }
+    return dropped.size();
+}
+
+bool FleetState::hasEndpoint(const EndpointName &name) const
+{
+    return m_directory.find(name) != nullptr;
+}
+
+Result<void> FleetState::admit(const TeamName &team, Instant now)
+{
+    const auto found = m_rates.find(team);
+    if (found == m_rates.end()) {
+        return success();
+    }
+    if (!found->second.admit(now)) {
+        return Error(ErrorKind::RateLimited, "team \"" + team.value() + "\" is at its rate")
+            .withNotRun()
+            .withRetryAfter(found->second.wait(now).value_or(kClosedTeamRetry));
+    }
+    ++m_admitted[team];
+    return success();
+}
+
+void FleetState::giveBack(const TeamName &team, Instant now)
+{
+    const auto found = m_rates.find(team);
+    const auto admitted = m_admitted.find(team);
+    // What peers have heard of stays taken.
+    if (found != m_rates.end() && admitted != m_admitted.end() && admitted->second > 0) {
+        --admitted->second;
+        found->second.giveBack(now);
+    }
+}
+
+void FleetState::onPeerAdmitted(const TeamName &team, std::uint64_t requests, Instant now)
+{
+    const auto found = m_rates.find(team);
+    if (found != m_rates.end()) {
+        found->second.onPeerAdmitted(requests, now);
+    }
+}
+
+void FleetState::setLimitShare(bool isWhole, std::uint32_t whole, Instant now)
+{
+    if (isWhole == m_isWhole && whole == m_members) {
+        return;
+    }
+    m_isWhole = isWhole;
+    m_members = whole;
+    for (auto &[team, rate] : m_rates) {
+        rate.setShare(1, isWhole ? 1 : whole, now);
+    }
+}
+
+std::vector<std::pair<TeamName, std::uint64_t>> FleetState::takeAdmitted()
+{
+    std::vector<std::pair<TeamName, std::uint64_t>> admitted;
+    for (const auto &[team, requests] : std::exchange(m_admitted, {})) {
+        if (requests > 0) {
+            admitted.emplace_back(team, requests);
+        }
+    }
+    return admitted;
+}
+
+} // namespace basilhall::gateway
--- /dev/null
+++ b/basilhall/gateway/gateway.cpp
@@ -0,0 +1,275 @@
+#include "basilhall/gateway/gateway.h"
+
+#include "basilhall/base/monotonic_clock.h"
+#include "basilhall/gateway/membership.h"
+#include "basilhall/gateway/peer_mesh.h"
+#include "basilhall/logging/log_system.h"
+#include "basilhall/metrics/registry.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace basilhall::gateway
+{
+
+namespace asio = boost::asio;
+using logging::Field;
+
+namespace
+{
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+constexpr Duration kLoadRetry = std::chrono::milliseconds(200);
+// Spending is written within this time of a turn's end; think times of programs are longer.
+constexpr Duration kCoverInterval = std::chrono::milliseconds(200);
+constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
+// The platform asks for readiness once a second and takes a host out after two misses.
+constexpr Duration kBalancerDelay = std::chrono::milliseconds(2500);
+// Requests still running this long before the kill are cut, so that the process ends in order.
+constexpr Duration kKillMargin = std::chrono::milliseconds(700);
+constexpr Duration kDrainCheck = std::chrono::milliseconds(50);
+
+http::ServerLimits serverLimits(const fleet::IngressLimits &limits)
+{
+    http::ServerLimits made;
+    made.maxBodyBytes = limits.maxBodyBytes;
+    made.maxHeaderBytes = limits.maxHeaderBytes;
+    made.readTimeout = limits.headerTimeout;
+    made.idleTimeout = limits.idleTimeout;
+    return made;
+}
+
+} // namespace
+
+class Gateway::Private : public std::enable_shared_from_this<Gateway::Private>
+{
+public:
+    Private(const asio::any_io_executor &e, settings::GatewaySettings s, Incarnation incarnation,
+            StoreAccess access, PolicyDecoder d, logging::LogSystem &logs,
+            metrics::Registry &registry)
+        : executor(e)
+        , settings(std::move(s))
+        , decode(std::move(d))
+        , log(logs.log("gateway"))
+        , state(incarnation, settings.failureDomain)
+        , keeper(e, access, state, logs.log("turns"), registry)
+        , callLog(logs.log("call"), registry)
+        , mesh(e, {settings.host, incarnation, settings.peerListen}, state, keeper,
+               logs.log("peers"),
+               [this](const PolicyDocument &document) { takePolicy(document, "peer"); })
+        , membership(e, {settings.host, incarnation, settings.peerListen}, std::move(access), mesh,
+                     logs.log("peers"))
+        , readyServer(e, settings.readyListen, {},
+                      [this](std::shared_ptr<http::Exchange> exchange) {
+                          return answerReady(std::move(exchange));
+                      })
+    {
+        keeper.setRelay([this](std::vector<journal::Record> records) {
+            return mesh.relay(std::move(records));
+        });
+        keeper.setAnnounce([this](const journal::TurnKept &turn) { mesh.announce(turn); });
+    }
+
+    static Instant now() { return MonotonicClock().now(); }
+
+    bool isReady() const
+    {
+        return !isDraining && isLoaded && state.policy() && hasEndpoints;
+    }
+
+    asio::awaitable<void> answerReady(std::shared_ptr<http::Exchange> exchange)
+    {
+        http::Response response;
+        response.status = isReady() ? 200 : 503;
+        (void)co_await exchange->respond(std::move(response));
+    }
+
+    void takePolicy(const PolicyDocument &document, logging::Literal source)
+    {
+        if (state.policy() && document.version <= state.policy()->version()) {
+            return;
+        }
+        const Result<fleet::PolicyPtr> policy = decode(document.document);
+        if (!policy) {
+            log.error("Refused a configuration; the one before stays in force.",
+                      Field("version", document.version), Field("reason", policy.error()));
+            return;
+        }
+        if (state.applyPolicy(policy.value(), now())) {
+            log.info("Configuration in force.", Field("version", document.version),
+                     Field("source", source));
+            callers->setLimits(serverLimits(policy.value()->content().limits));
+            mesh.publish(document);
+        }
+    }
+
+    // Reads what was kept until it succeeds.
+    static asio::awaitable<void> load(std::shared_ptr<Private> self)
+    {
+        asio::steady_timer pause(self->executor);
+        bool isLogged = false;
+        while (!self->isLoaded) {
+            const Result<void> done = co_await self->keeper.load();
+            if (done) {
+                self->isLoaded = true;
+                self->log.info("Read the journals.", Field("turns", self->state.turns().size()),
+                               Field("programs", self->state.budgets().size()));
+                co_return;
+            }
+            if (!std::exchange(isLogged, true)) {
+                self->log.warning("Cannot read the journals yet.", Field("reason", done.error()));
+            }
+            pause.expires_after(kLoadRetry);
+            (void)co_await pause.async_wait(kTuple);
+        }
+    }
+
+    static asio::awaitable<void> beat(std::shared_ptr<Private> self)
+    {
+        asio::steady_timer timer(self->executor);
+        Instant nextCover = now();
+        Instant nextHousekeeping = now();
+        while (!self->isStopped) {
+            self->mesh.flush();
+            const std::size_t dropped = self->state.expireEndpoints(now());
+            if (dropped > 0) {
+                self->log.info("Dropped registrations that did not come back.",
+                               Field("endpoints", dropped));
+            }
+            if (now() >= nextCover) {
+                nextCover = now() + kCoverInterval;
+                self->keeper.coverAll();
+            }
+            if (now() >= nextHousekeeping) {
+                nextHousekeeping = now() + kHousekeepingInterval;
+                self->keeper.expire();
+                self->membership.removeSilent();
+            }
+            timer.expires_after(PeerMesh::kBeat);
+            (void)co_await timer.async_wait(kTuple);
+        }
+    }
+
+    static asio::awaitable<void> drain(std::shared_ptr<Private> self, std::function<void()> done)
+    {
+        self->isDraining = true;
+        const Instant begun = now();
+        const Instant last = begun + self->settings.shutdownGrace - kKillMargin;
+        self->log.info("Drains.", Field("running", self->callLog.running()));
+        self->callers->closeAfterAnswers();
+        asio::steady_timer timer(self->executor);
+        bool accepts = true;
+        while (now() < last) {
+            if (accepts && now() - begun >= kBalancerDelay) {
+                accepts = false;
+                self->callers->stopAccepting();
+            }
+            if (!accepts && self->callLog.running() == 0 && self->callers->connections() == 0
+                && self->keeper.isIdle()) {
+                break;
+            }
+            timer.expires_after(kDrainCheck);
+            (void)co_await timer.async_wait(kTuple);
+        }
+        self->log.info("Drained.", Field("after", now() - begun),
+                       Field("running", self->callLog.running()));
+        self->isStopped = true;
+        self->membership.leave(std::move(done));
+    }
+
+    asio::any_io_executor executor;
+    settings::GatewaySettings settings;
+    PolicyDecoder decode;
+    logging::Log log;
+    FleetState state;
+    TurnKeeper keeper;
+    CallLog callLog;
+    PeerMesh mesh;
+    Membership membership;
+    http::Server readyServer;
+    std::unique_ptr<http::Server> callers;
+    bool hasEndpoints = false;
+    bool isLoaded = false;
+    bool isDraining = false;
+    bool isStopped = false;
+};
+
+Gateway::Gateway(const asio::any_io_executor &executor, settings::GatewaySettings settings,
+                 Incarnation incarnation, StoreAccess access, PolicyDecoder decoder,
+                 logging::LogSystem &logs, metrics::Registry &registry)
+    : d(std::make_shared<Private>(executor, std::move(settings), std::move(incarnation),
+                                  std::move(access), std::move(decoder), logs, registry))
+{
+}
+
+Gateway::~Gateway() = default;
+
+FleetState &Gateway::state()
+{
+    return d->state;
+}
+
+TurnKeeper &Gateway::keeper()
+{
+    return d->keeper;
+}
+
+CallLog &Gateway::callLog()
+{
+    return d->callLog;
+}
+
+FleetEvents Gateway::events()
+{
+    FleetEvents events;
+    events.policy = [d = d](const PolicyDocument &document) { d->takePolicy(document, "store"); };
+    events.endpointsListed = [d = d](const std::vector<fleet::Endpoint> &listed, bool afterOutage) {
+        d->state.replaceEndpoints(listed, afterOutage, Private::now());
+        d->hasEndpoints = true;
+        d->log.info("Listed endpoints.", Field("listed", listed.size()),
+                    Field("after_outage", afterOutage), Field("known", d->state.endpointCount()));
+    };
+    events.endpointChanged = [d = d](const fleet::Endpoint &endpoint) {
+        d->state.setEndpoint(endpoint);
+        d->log.info("Endpoint registered.", Field("endpoint", endpoint.name),
+                    Field("leaving", endpoint.isLeaving), Field("address", endpoint.address),
+                    Field("started", endpoint.startedAt));
+    };
+    events.endpointRemoved = [d = d](const EndpointName &name) {
+        d->state.removeEndpoint(name, Private::now());
+        d->log.info("Endpoint removed.", Field("endpoint", name),
+                    Field("kept", d->state.hasEndpoint(name)));
+    };
+    events.membersListed = [d = d](const std::vector<Member> &members) {
+        d->membership.setAll(members);
+    };
+    events.memberChanged = [d = d](const Member &member) { d->membership.set(member); };
+    events.memberRemoved = [d = d](const HostName &host) { d->membership.remove(host); };
+    return events;
+}
+
+void Gateway::start(http::Server::Handler serve)
+{
+    d->callers = std::make_unique<http::Server>(
+        d->executor, d->settings.listen, serverLimits(fleet::IngressLimits()), std::move(serve));
+    d->membership.join();
+    asio::co_spawn(d->executor, Private::load(d), asio::detached);
+    asio::co_spawn(d->executor, Private::beat(d), asio::detached);
+}
+
+void Gateway::drain(std::function<void()> done)
+{
+    if (!d->isDraining) {
+        asio::co_spawn(d->executor, Private::drain(d, std::move(done)), asio::detached);
+    }
+}
+
+bool Gateway::isReady() const
+{
+    return d->isReady();
+}
+
+} // namespace basilhall::gateway
--- /dev/null
+++ b/basilhall/gateway/internal/call_log.cpp
@@ -0,0 +1,91 @@
+#include "basilhall/gateway/internal/call_log.h"
+
+#include "basilhall/base/monotonic_clock.h"
+
+namespace basilhall::gateway
+{
+
+using logging::Field;
+using logging::PublicText;
+using metrics::Metric;
+
+namespace
+{
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+std::string_view routeName(const CallContext &context)
+{
+    return context.route == nullptr ? std::string_view() : std::string_view(context.route->name);
+}
+
+std::uint64_t versionOf(const CallContext &context)
+{
+    return context.policy ? context.policy->version() : 0;
+}
+
+} // namespace
+
+CallLog::CallLog(logging::Log log, metrics::Registry &registry)
+    : m_log(std::move(log))
+    , m_registry(registry)
+    , m_started(registry.counter(Metric::CallsStarted, "request"))
+    , m_ok(registry.counter(Metric::CallsFinished, "ok"))
+    , m_seconds(registry.quantile(Metric::CallSeconds, "request"))
+    , m_firstSeconds(registry.quantile(Metric::FirstTokenSeconds))
+{
+}
+
+void CallLog::started()
+{
+    m_started.add();
+    ++m_running;
+}
+
+void CallLog::notRun(const CallContext &context, int status)
+{
+    m_log.info("Endpoint did not take the request.", Field("call", context.call.id),
+               Field("endpoint", context.endpoint), Field("status", status),
+               Field("send", context.sends));
+}
+
+void CallLog::failed(const CallContext &context, const Error &error)
+{
+    m_log.warning("Attempt failed.", Field("call", context.call.id),
+                  Field("endpoint", context.endpoint), Field("send", context.sends),
+                  Field("events", context.events), Field("reason", error));
+}
+
+void CallLog::finished(const CallContext &context, const Result<void> &outcome)
+{
+    --m_running;
+    const Instant now = MonotonicClock().now();
+    const Duration took = now - context.arrivedAt;
+    if (outcome) {
+        m_ok.add();
+        m_seconds.observe(seconds(took));
+        if (context.firstEventAt) {
+            m_firstSeconds.observe(seconds(*context.firstEventAt - context.arrivedAt));
+        }
+        m_log.info("Served.", Field("call", context.call.id),
+                   Field("program", context.call.program),
+                   Field("route", PublicText(routeName(context))),
+                   Field("endpoint", context.endpoint), Field("sends", context.sends),
+                   Field("events", context.events), Field("took", took),
+                   Field("policy", versionOf(context)));
+        return;
+    }
+    m_registry.counter(Metric::CallsFinished, errorTraits(outcome.error().kind()).name).add();
+    m_log.info("Not served.", Field("call", context.call.id),
+               Field("program", context.call.program),
+               Field("route", PublicText(routeName(context))), Field("endpoint", context.endpoint),
+               Field("sends", context.sends), Field("runs", context.runs),
+               Field("events", context.events), Field("took", took),
+               Field("caller_gone", context.isCallerGone), Field("policy", versionOf(context)),
+               Field("not_run", outcome.error().notRun()), Field("reason", outcome.error()));
+}
+
+} // namespace basilhall::gateway
--- /dev/null
+++ b/basilhall/gateway/internal/call_log.h
@@ -0,0 +1,37 @@
+// Log lines and metrics of the requests that a gateway serves.
+#pragma once
+
+#include "basilhall/base/result.h"
+#include "basilhall/gateway/call_context.h"
+#include "basilhall/logging/log.h"
+#include "basilhall/metrics/registry.h"
+
+namespace basilhall::gateway
+{
+
+// One line for each request's end and for each attempt that gave no answer. Not thread-safe. The
+// registry must outlive it.
+class CallLog
+{
+public:
+    CallLog(logging::Log log, metrics::Registry &registry);
+
+    void started();
+    // An endpoint stated that it has not run the request.
+    void notRun(const CallContext &context, int status);
+    // An attempt broke; the request may have run.
+    void failed(const CallContext &context, const Error &error);
+    void finished(const CallContext &context, const Result<void> &outcome);
+    std::uint64_t running() const { return m_running; }
+
+private:
+    logging::Log m_log;
+    metrics::Registry &m_registry;
+    metrics::Counter &m_started;
+    metrics::Counter &m_ok;
+    metrics::Quantile &m_seconds;
+    metrics::Quantile &m_firstSeconds;
+    std::uint64_t m_running = 0;
+};
+
+} // namespace basilhall::gateway
--- /dev/null
+++ b/basilhall/gateway/internal/route_choice.cpp
@@ -0,0 +1,97 @@
+#include "basilhall/gateway/internal/route_choice.h"
+
+#include <algorithm>
+#include <functional>
+#include <string_view>
+
+namespace basilhall::gateway
+{
+
+namespace
+{
+
+constexpr std::uint32_t kLowestPriority = 9;
+
+// Spreads the requests of a split route by their identifiers.
+const std::string &chooseService(const fleet::Route &route, const CallId &id)
+{
+    std::uint64_t total = 0;
+    for (const fleet::WeightedService &part : route.services) {
+        total += part.weight;
+    }
+    std::uint64_t point = total == 0 ? 0 : std::hash<std::string>()(id.value()) % total;
+    for (const fleet::WeightedService &part : route.services) {
+        if (point < part.weight) {
+            return part.service;
+        }
+        point -= part.weight;
+    }
+    return route.services.front().service;
+}
+
+} // namespace
+
+Result<void> resolveRoute(CallContext &context)
+{
+    const Call &call = context.call;
+    context.route = context.policy->findRoute(call.host, call.path);
+    if (context.route == nullptr) {
+        return Error(ErrorKind::NotFound, "no route serves the path").withNotRun();
+    }
+    if (context.policy->hasTeams() && !context.route->isPublic) {
+        context.team = context.policy->findTeam(call.key);
+        if (context.team == nullptr) {
+            return Error(ErrorKind::Unauthenticated, "the key is missing or unknown").withNotRun();
+        }
+    }
+    const Duration patience = std::min(call.timeLeft.value_or(context.route->timeout),
+                                       context.route->timeout);
+    if (patience <= Duration::zero()) {
+        return Error(ErrorKind::DeadlineExceeded, "the time of the request is over").withNotRun();
+    }
+    context.deadline = context.arrivedAt + patience;
+    context.work.service = chooseService(*context.route, call.id);
+    context.work.prompt = call.prompt;
+    context.work.tokens =
+        call.promptTokens + std::min(call.expectedOutputTokens.value_or(call.mostOutputTokens),
+                                     call.mostOutputTokens);
+    return success();
+}
+
+std::uint32_t priorityOf(const CallContext &context)
+{
+    std::uint32_t priority = context.route->priority;
+    if (context.team != nullptr && context.team->priority) {
+        priority = *context.team->priority;
+    }
+    return std::min(priority, kLowestPriority);
+}
+
+Error noEndpoint(const CallContext &context)
+{
+    return Error(ErrorKind::Unavailable,
+                 "no endpoint of service \"" + context.work.service + "\" takes the request")
+        .withRetryAfter(kNoEndpointRetry);
+}
+
+TeamName teamOf(const CallContext &context)
+{
+    return context.team == nullptr ? TeamName() : context.team->name;
+}
+
+std::uint64_t tokensOf(const CallContext &context)
+{
+    const fleet::Service *service = context.policy->findService(context.work.service);
+    const std::uint64_t perEvent =
+        service != nullptr && service->engine ? service->engine->tokensPerEvent : 1;
+    return context.events * perEvent;
+}
+
+WallMillis keptMillis(const fleet::Route &route)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(route.retention
+                                                                 + kRetentionMargin)
+        .count();
+}
+
+} // namespace basilhall::gateway
--- /dev/null
+++ b/basilhall/gateway/member.cpp
@@ -0,0 +1,32 @@
+#include "basilhall/gateway/member.h"
+
+#include "basilhall/gateway/gateway.pb.h"
+#include "basilhall/store/envelope.h"
+
+namespace basilhall::gateway
+{
+
+std::string encodeMember(const Member &member)
+{
+    wire::Member message;
+    message.set_host(member.host.value());
+    message.set_incarnation(member.incarnation.value());
+    message.set_address(toString(member.address));
+    return store::sealEnvelope(message.SerializeAsString());
+}
+
+Result<Member> decodeMember(const store::ObjectKey &key, std::string_view data)
+{
+    BOOST_OUTCOME_TRY(const std::string_view payload, store::openEnvelope(key, data));
+    wire::Member message;
+    if (!message.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
+        return store::corruptObject(key, "does not hold a member");
+    }
+    const Result<Address> address = parseAddress(message.address());
+    if (!address || message.host() != key.name) {
+        return store::corruptObject(key, "does not describe the host that it is named after");
+    }
+    return Member{HostName(message.host()), Incarnation(message.incarnation()), address.value()};
+}
+
+} // namespace basilhall::gateway
--- /dev/null
+++ b/basilhall/gateway/member.h
@@ -0,0 +1,33 @@
+// A gateway as it registered itself.
+#pragma once
+
+#include "basilhall/base/address.h"
+#include "basilhall/base/identifier.h"
+#include "basilhall/base/result.h"
+#include "basilhall/store/object_key.h"
+
+#include <compare>
+#include <string>
+#include <string_view>
+
+namespace basilhall::gateway
+{
+
+// Kind of the objects that hold registrations; the name is the host's.
+inline constexpr const char *kMemberKind = "gateways";
+
+// Immutable value.
+struct Member {
+    HostName host;
+    Incarnation incarnation;
+    // Where peers connect.
+    Address address;
+
+    auto operator<=>(const Member &) const = default;
+};
+
+std::string encodeMember(const Member &member);
+// Corrupt names the object.
+Result<Member> decodeMember(const store::ObjectKey &key, std::string_view data);
+
+} // namespace basilhall::gateway
--- /dev/null
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -0,0 +1,461 @@
+#include "basilhall/gateway/peer_mesh.h"
+
+#include "basilhall/base/monotonic_clock.h"
+#include "basilhall/gateway/gateway.pb.h"
+#include "basilhall/gateway/spend_codec.h"
+#include "basilhall/transport/signal.h"
+#include "basilhall/transport/stream_client.h"
+#include "basilhall/transport/stream_server.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <deque>
+#include <map>
+#include <unordered_set>
+
+namespace basilhall::gateway
+{
+
+namespace asio = boost::asio;
+using logging::Field;
+
+namespace
+{
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+const std::string kUpdatesMethod = "/updates";
+const std::string kKeepMethod = "/keep";
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+constexpr Duration kReconnectPause = std::chrono::milliseconds(250);
+// A peer that is silent for six beats counts as not heard, so that limits are split in time.
+constexpr Duration kHeardWithin = std::chrono::milliseconds(600);
+// Time for a peer to make records durable; its own object API calls take a few milliseconds.
+constexpr Duration kRelayTimeout = std::chrono::milliseconds(800);
+// Messages that wait for a slow subscriber; beyond that its stream is reset and begins anew.
+constexpr std::size_t kMaxQueued = 2000;
+// Times out within two beats of PING; see KeepAlive.
+const transport::KeepAlive kKeepAlive{std::chrono::milliseconds(700),
+                                      std::chrono::milliseconds(2100)};
+
+// One peer that wants the updates of this process.
+struct Subscriber {
+    explicit Subscriber(const asio::any_io_executor &executor)
+        : wake(executor)
+    {
+    }
+
+    std::deque<std::shared_ptr<const std::string>> queue;
+    transport::Signal wake;
+    bool isGone = false;
+};
+
+struct Peer {
+    Member member;
+    Instant heardAt = Instant::min();
+    Instant listedAt = Instant::min();
+    bool isConnected = false;
+    bool isDropped = false;
+};
+
+} // namespace
+
+class PeerMesh::Private : public std::enable_shared_from_this<PeerMesh::Private>
+{
+public:
+    Private(const asio::any_io_executor &e, Member s, FleetState &st, TurnKeeper &k,
+            logging::Log l, PolicyHandler handler)
+        : executor(e)
+        , self(std::move(s))
+        , state(st)
+        , keeper(k)
+        , log(std::move(l))
+        , onPolicy(std::move(handler))
+        , client(e, kKeepAlive)
+    {
+    }
+
+    static Instant now() { return MonotonicClock().now(); }
+
+    void listen()
+    {
+        server = std::make_unique<transport::StreamServer>(
+            executor, self.address,
+            [weak = weak_from_this()](std::shared_ptr<transport::ServerStream> stream) {
+                return handle(weak.lock(), std::move(stream));
+            },
+            kKeepAlive);
+    }
+
+    static asio::awaitable<void> handle(std::shared_ptr<Private> self,
+                                        std::shared_ptr<transport::ServerStream> stream)
+    {
+        if (!self) {
+            co_return;
+        }
+        if (stream->method() == kUpdatesMethod) {
+            co_await serveUpdates(self, stream);
+        } else if (stream->method() == kKeepMethod) {
+            co_await serveKeep(self, stream);
+        }
+    }
+
+    static asio::awaitable<void> serveUpdates(std::shared_ptr<Private> self,
+                                              std::shared_ptr<transport::ServerStream> stream)
+    {
+        const auto subscriber = std::make_shared<Subscriber>(self->executor);
+        stream->onCancelled([weak = std::weak_ptr<Subscriber>(subscriber)] {
+            if (const auto alive = weak.lock()) {
+                alive->isGone = true;
+                alive->wake.notify();
+            }
+        });
+        self->subscribers.insert(subscriber);
+        subscriber->queue.push_back(self->firstUpdate());
+        while (!subscriber->isGone) {
+            if (subscriber->queue.empty()) {
+                co_await subscriber->wake.wait();
+                continue;
+            }
+            const auto message = subscriber->queue.front();
+            subscriber->queue.pop_front();
+            const Result<void> sent = co_await stream->send(*message);
+            if (!sent) {
+                break;
+            }
+        }
+        self->subscribers.erase(subscriber);
+    }
+
+    static asio::awaitable<void> serveKeep(std::shared_ptr<Private> self,
+                                           std::shared_ptr<transport::ServerStream> stream)
+    {
+        wire::KeepRequest request;
+        if (!request.ParseFromString(stream->request())) {
+            self->log.warning("Dropped a malformed request of a peer.");
+            co_return;
+        }
+        std::vector<journal::Record> records(request.records().begin(), request.records().end());
+        const Result<void> kept =
+            co_await self->keeper.keepFor(std::move(records), kRelayTimeout);
+        wire::KeepReply reply;
+        reply.set_durable(kept.has_value());
+        const Result<void> sent = co_await stream->send(reply.SerializeAsString());
+        if (sent) {
+            (void)co_await stream->finish();
+        }
+    }
+
+    wire::Update newUpdate() const
+    {
+        wire::Update update;
+        update.set_incarnation(self.incarnation.value());
+        return update;
+    }
+
+    std::shared_ptr<const std::string> firstUpdate() const
+    {
+        wire::Update update = newUpdate();
+        for (const turns::SpendReport &report : state.budgets().ownReports()) {
+            addSpend(update, report);
+        }
+        if (policy.version > 0) {
+            update.mutable_policy()->set_version(policy.version);
+            update.mutable_policy()->set_document(policy.document);
+        }
+        return std::make_shared<const std::string>(update.SerializeAsString());
+    }
+
+    void addSpend(wire::Update &update, const turns::SpendReport &report) const
+    {
+        wire::Spend &spend = *update.add_spends();
+        *spend.mutable_record() = toRecord(self.incarnation, report);
+        spend.set_in_flight_tokens(report.inFlight);
+    }
+
+    void broadcast(const wire::Update &update)
+    {
+        const auto message = std::make_shared<const std::string>(update.SerializeAsString());
+        for (const auto &subscriber : subscribers) {
+            if (subscriber->queue.size() >= kMaxQueued) {
+                subscriber->isGone = true;
+            } else {
+                subscriber->queue.push_back(message);
+            }
+            subscriber->wake.notify();
+        }
+    }
+
+    void flush()
+    {
+        wire::Update update = newUpdate();
+        for (const turns::SpendReport &report : state.budgets().takeChanges()) {
+            addSpend(update, report);
+        }
+        for (const auto &[team, requests] : state.takeAdmitted()) {
+            wire::Admitted &admitted = *update.add_admitted();
+            admitted.set_team(team.value());
+            admitted.set_requests(requests);
+        }
+        for (const auto &[endpoint, load] : state.placement().takeLoadChanges()) {
+            wire::EndpointLoad &entry = *update.add_loads();
+            entry.set_endpoint(endpoint.value());
+            entry.set_requests(load.requests);
+            entry.set_tokens(load.tokens);
+        }
+        for (const placement::PromptUse &use : state.placement().takeUses()) {
+            wire::PromptUse &entry = *update.add_uses();
+            entry.set_endpoint(use.endpoint.value());
+            for (const placement::PromptPart &part : use.prompt) {
+                wire::PromptPart &added = *entry.add_parts();
+                added.set_id(part.id);
+                added.set_tokens(part.tokens);
+            }
+        }
+        broadcast(update);
+        updateShare();
+    }
+
+    bool isHeard(const Peer &peer) const
+    {
+        return peer.isConnected && now() - peer.heardAt <= kHeardWithin;
+    }
+
+    void updateShare()
+    {
+        std::size_t heard = 0;
+        for (const auto &[host, peer] : peers) {
+            heard += isHeard(*peer) ? 1 : 0;
+        }
+        state.setLimitShare(heard == peers.size(), static_cast<std::uint32_t>(peers.size() + 1),
+                            now());
+    }
+
+    void apply(const wire::Update &update)
+    {
+        const Incarnation from(update.incarnation());
+        const Instant time = now();
+        for (const journal::TurnKept &turn : update.turns()) {
+            keeper.learn(turn);
+        }
+        for (const wire::Spend &spend : update.spends()) {
+            turns::SpendReport report = fromRecord(spend.record());
+            report.inFlight = spend.in_flight_tokens();
+            state.budgets().onPeerReport(from, report, time);
+        }
+        for (const wire::Admitted &admitted : update.admitted()) {
+            state.onPeerAdmitted(TeamName(admitted.team()), admitted.requests(), time);
+        }
+        for (const wire::EndpointLoad &load : update.loads()) {
+            state.placement().onPeerLoad(from, EndpointName(load.endpoint()),
+                                         {load.requests(), load.tokens()});
+        }
+        for (const wire::PromptUse &use : update.uses()) {
+            placement::PromptUse known{EndpointName(use.endpoint()), {}};
+            for (const wire::PromptPart &part : use.parts()) {
+                known.prompt.push_back({part.id(), part.tokens()});
+            }
+            state.placement().onPeerUse(known);
+        }
+        if (update.has_policy()) {
+            onPolicy({update.policy().version(), update.policy().document()});
+        }
+    }
+
+    // Reads the updates of one member until it is dropped.
+    static asio::awaitable<void> follow(std::shared_ptr<Private> self, std::shared_ptr<Peer> peer)
+    {
+        asio::steady_timer pause(self->executor);
+        wire::Subscribe request;
+        request.set_incarnation(self->self.incarnation.value());
+        while (!peer->isDropped && !self->isClosed) {
+            auto stream = co_await self->client.open(peer->member.address, kUpdatesMethod,
+                                                     request.SerializeAsString(), kConnectTimeout);
+            if (stream) {
+                co_await readUpdates(self, peer, *stream.value());
+            }
+            if (peer->isConnected) {
+                peer->isConnected = false;
+                self->log.warning("Lost a peer.", Field("peer", peer->member.host),
+                                  Field("incarnation", peer->member.incarnation));
+                self->state.placement().onPeerGone(peer->member.incarnation);
+                self->state.budgets().onPeerGone(peer->member.incarnation);
+            }
+            pause.expires_after(kReconnectPause);
+            (void)co_await pause.async_wait(kTuple);
+        }
+    }
+
+    static asio::awaitable<void> readUpdates(std::shared_ptr<Private> self,
+                                             std::shared_ptr<Peer> peer,
+                                             transport::ClientStream &stream)
+    {
+        while (!peer->isDropped && !self->isClosed) {
+            const auto message = co_await stream.next();
+            if (!message || !message.value()) {
+                break;
+            }
+            wire::Update update;
+            if (!update.ParseFromString(*message.value())) {
+                self->log.warning("Dropped a malformed update of a peer.",
+                                  Field("peer", peer->member.host));
+                continue;
+            }
+            if (!peer->isConnected) {
+                peer->isConnected = true;
+                self->log.info("Hears a peer.", Field("peer", peer->member.host),
+                               Field("incarnation", peer->member.incarnation));
+            }
+            peer->heardAt = now();
+            self->apply(update);
+        }
+    }
+
+    asio::awaitable<bool> askToKeep(Address address, std::string request)
+    {
+        auto stream = co_await client.open(address, kKeepMethod, std::move(request),
+                                           kConnectTimeout);
+        if (!stream) {
+            co_return false;
+        }
+        const auto message = co_await stream.value()->next();
+        wire::KeepReply reply;
+        co_return message && message.value() && reply.ParseFromString(*message.value())
+            && reply.durable();
+    }
+
+    asio::any_io_executor executor;
+    const Member self;
+    FleetState &state;
+    TurnKeeper &keeper;
+    logging::Log log;
+    PolicyHandler onPolicy;
+    transport::StreamClient client;
+    std::unique_ptr<transport::StreamServer> server;
+    std::map<HostName, std::shared_ptr<Peer>> peers;
+    std::unordered_set<std::shared_ptr<Subscriber>> subscribers;
+    PolicyDocument policy;
+    bool isClosed = false;
+};
+
+PeerMesh::PeerMesh(const asio::any_io_executor &executor, Member self, FleetState &state,
+                   TurnKeeper &keeper, logging::Log log, PolicyHandler onPolicy)
+    : d(std::make_shared<Private>(executor, std::move(self), state, keeper, std::move(log),
+                                  std::move(onPolicy)))
+{
+    d->listen();
+}
+
+PeerMesh::~PeerMesh()
+{
+    close();
+}
+
+void PeerMesh::setMembers(const std::vector<Member> &members)
+{
+    std::map<HostName, std::shared_ptr<Peer>> kept;
+    for (const Member &member : members) {
+        if (member.host == d->self.host) {
+            continue;
+        }
+        const auto known = d->peers.find(member.host);
+        if (known != d->peers.end() && known->second->member == member) {
+            kept.emplace(member.host, known->second);
+            continue;
+        }
+        const auto peer = std::make_shared<Peer>();
+        peer->member = member;
+        peer->listedAt = Private::now();
+        kept.emplace(member.host, peer);
+        asio::co_spawn(d->executor, Private::follow(d, peer), asio::detached);
+    }
+    for (const auto &[host, peer] : d->peers) {
+        const auto still = kept.find(host);
+        peer->isDropped = still == kept.end() || still->second != peer;
+    }
+    d->peers = std::move(kept);
+}
+
+std::vector<HostName> PeerMesh::silentMembers(Duration silence) const
+{
+    std::vector<HostName> silent;
+    for (const auto &[host, peer] : d->peers) {
+        if (Private::now() - std::max(peer->heardAt, peer->listedAt) > silence) {
+            silent.push_back(host);
+        }
+    }
+    return silent;
+}
+
+std::size_t PeerMesh::memberCount() const
+{
+    return d->peers.size();
+}
+
+std::size_t PeerMesh::heardCount() const
+{
+    std::size_t heard = 0;
+    for (const auto &[host, peer] : d->peers) {
+        heard += d->isHeard(*peer) ? 1 : 0;
+    }
+    return heard;
+}
+
+void PeerMesh::announce(const journal::TurnKept &turn)
+{
+    wire::Update update = d->newUpdate();
+    *update.add_turns() = turn;
+    d->broadcast(update);
+}
+
+void PeerMesh::publish(PolicyDocument document)
+{
+    d->policy = std::move(document);
+    wire::Update update = d->newUpdate();
+    update.mutable_policy()->set_version(d->policy.version);
+    update.mutable_policy()->set_document(d->policy.document);
+    d->broadcast(update);
+}
+
+void PeerMesh::flush()
+{
+    d->flush();
+}
+
+asio::awaitable<bool> PeerMesh::relay(std::vector<journal::Record> records)
+{
+    const auto self = d;
+    wire::KeepRequest request;
+    for (journal::Record &record : records) {
+        *request.add_records() = std::move(record);
+    }
+    const std::string bytes = request.SerializeAsString();
+    std::vector<Address> addresses;
+    for (const auto &[host, peer] : self->peers) {
+        if (self->isHeard(*peer)) {
+            addresses.push_back(peer->member.address);
+        }
+    }
+    for (const Address &address : addresses) {
+        if (co_await self->askToKeep(address, bytes)) {
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
+void PeerMesh::close()
+{
+    d->isClosed = true;
+    for (const auto &[host, peer] : d->peers) {
+        peer->isDropped = true;
+    }
+    d->client.close();
+    if (d->server) {
+        d->server->close();
+    }
+}
+
+} // namespace basilhall::gateway
--- /dev/null
+++ b/basilhall/gateway/peer_mesh.h
@@ -0,0 +1,75 @@
+// Connects a gateway to all others: each sends its news to every subscriber at once.
+//
+//     PeerMesh mesh(executor, member, listen, state, keeper, log);
+//     mesh.setMembers(members);
+//     mesh.announce(turn);
+//     mesh.publish(document);
+#pragma once
+
+#include "basilhall/gateway/fleet_state.h"
+#include "basilhall/gateway/member.h"
+#include "basilhall/gateway/turn_keeper.h"
+#include "basilhall/logging/log.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace basilhall::gateway
+{
+
+// A version of the configuration as the platform encodes it.
+struct PolicyDocument {
+    std::uint64_t version = 0;
+    std::string document;
+
+    auto operator<=>(const PolicyDocument &) const = default;
+};
+
+// Not thread-safe: use from its executor. The references must outlive it.
+class PeerMesh
+{
+public:
+    // Takes a version that a peer has in force.
+    using PolicyHandler = std::function<void(const PolicyDocument &)>;
+
+    // Listens on the member's address.
+    PeerMesh(const boost::asio::any_io_executor &executor, Member self, FleetState &state,
+             TurnKeeper &keeper, logging::Log log, PolicyHandler onPolicy);
+    ~PeerMesh();
+    PeerMesh(const PeerMesh &) = delete;
+    PeerMesh &operator=(const PeerMesh &) = delete;
+
+    // Connects to the members and drops the connections to others.
+    void setMembers(const std::vector<Member> &members);
+    // Members that have been silent for longer than `silence`.
+    std::vector<HostName> silentMembers(Duration silence) const;
+    // Members other than this one, and how many of them are heard.
+    std::size_t memberCount() const;
+    std::size_t heardCount() const;
+
+    // Sends a turn to all subscribers at once.
+    void announce(const journal::TurnKept &turn);
+    // Sends the version in force to all subscribers at once, and to each that subscribes later.
+    void publish(PolicyDocument document);
+    // Sends what has changed in the state; called by the owner at least every kBeat.
+    void flush();
+
+    // Asks the heard members one after the other to keep the records.
+    boost::asio::awaitable<bool> relay(std::vector<journal::Record> records);
+
+    void close();
+
+    // Time between two updates to a subscriber, also without news.
+    static constexpr Duration kBeat = std::chrono::milliseconds(100);
+
+private:
+    class Private;
+    std::shared_ptr<Private> d;
+};
+
+} // namespace basilhall::gateway
--- /dev/null
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -0,0 +1,457 @@
+#include "basilhall/gateway/turn_keeper.h"
+
+#include "basilhall/base/monotonic_clock.h"
+#include "basilhall/gateway/spend_codec.h"
+#include "basilhall/journal/batch_codec.h"
+#include "basilhall/journal/writer.h"
+#include "basilhall/metrics/registry.h"
+#include "basilhall/transport/signal.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <optional>
+#include <set>
+
+namespace basilhall::gateway
+{
+
+namespace asio = boost::asio;
+using logging::Field;
+using logging::PublicText;
+
+namespace
+{
+
+constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+// Time that a record may wait for the object API before a peer is asked to write it; several times
+// the usual answer of 4 ms.
+constexpr Duration kRelayAfter = std::chrono::milliseconds(150);
+// Writes that fail for so long make new turns refused at once.
+constexpr Duration kNotKeepingAfter = std::chrono::milliseconds(600);
+// Pause after a peer could not help, before the next record tries one.
+constexpr Duration kRelayRetry = std::chrono::seconds(1);
+// Time for the news of a turn to arrive from the peer that kept it.
+constexpr Duration kNewsWait = std::chrono::milliseconds(25);
+// Time to come back after a refusal for lack of the object API.
+constexpr Duration kStoreRetry = std::chrono::milliseconds(500);
+// Least time between two creates of the journal, so that records of one moment share a call.
+constexpr Duration kFlushInterval = std::chrono::milliseconds(10);
+// Programs without a turn for so long are forgotten; longer than turns are kept.
+constexpr Duration kProgramMemory = std::chrono::minutes(5);
+
+} // namespace
+
+class TurnKeeper::Private : public std::enable_shared_from_this<TurnKeeper::Private>
+{
+public:
+    Private(const asio::any_io_executor &e, StoreAccess a, FleetState &s, logging::Log l,
+            metrics::Registry &registry)
+        : executor(e)
+        , access(std::move(a))
+        , state(s)
+        , log(std::move(l))
+        , batches(registry.counter(metrics::Metric::JournalBatches))
+        , writer(s.self(), ids, {.flushInterval = kFlushInterval})
+        , progress(e)
+        , wake(e)
+    {
+    }
+
+    static Instant now() { return MonotonicClock().now(); }
+
+    // Runs the writer as far as it goes without waiting.
+    void pump()
+    {
+        for (store::Operation &operation : writer.advance(now())) {
+            batches.add();
+            access(std::move(operation.request),
+                   [self = shared_from_this(), id = operation.id](const store::Outcome &outcome) {
+                       self->onOutcome(id, outcome);
+                   });
+        }
+        if (const auto next = writer.nextWake()) {
+            schedule(*next);
+        }
+    }
+
+    void onOutcome(store::OperationId id, const store::Outcome &outcome)
+    {
+        const bool isFailure =
+            !outcome && outcome.error().kind() == ErrorKind::StoreUnavailable;
+        noteStore(!isFailure, outcome ? std::nullopt : std::optional(outcome.error()));
+        writer.onOutcome(id, outcome, now());
+        progress.notify();
+        pump();
+    }
+
+    void noteStore(bool reached, const std::optional<Error> &error)
+    {
+        if (reached) {
+            if (failingSince) {
+                log.info("Object API takes records again.",
+                         Field("after", now() - *failingSince));
+            }
+            failingSince.reset();
+        } else if (!failingSince) {
+            failingSince = now();
+            log.warning("Object API does not take records.", Field("reason", *error));
+        }
+    }
+
+    void schedule(Instant at)
+    {
+        const Duration delay = std::max(at - now(), Duration::zero());
+        wake.expires_after(delay);
+        wake.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+            const auto self = weak.lock();
+            if (self && !error) {
+                self->pump();
+            }
+        });
+    }
+
+    // Waits until everything up to `ticket` is durable, here or at a peer.
+    static asio::awaitable<Result<void>> awaitDurable(std::shared_ptr<Private> self,
+                                                      journal::Ticket ticket,
+                                                      std::vector<journal::Record> records,
+                                                      Duration timeout)
+    {
+        const Instant deadline = now() + timeout;
+        const Instant relayAt = now() + kRelayAfter;
+        bool isRelayed = !self->relay;
+        asio::steady_timer alarm(self->executor);
+        while (self->writer.durable() < ticket) {
+            const Instant time = now();
+            if (time >= deadline || self->writer.isSealed()) {
+                co_return Error(ErrorKind::StoreUnavailable, "the record is not durable yet")
+                    .withRetryAfter(kStoreRetry);
+            }
+            if (!isRelayed && (time >= relayAt || self->failingSince)) {
+                isRelayed = true;
+                const auto relay = self->relay;
+                if (co_await relay(records)) {
+                    self->relayFailedAt.reset();
+                    co_return success();
+                }
+                self->relayFailedAt = now();
+                continue;
+            }
+            alarm.expires_after((isRelayed ? deadline : relayAt) - time);
+            alarm.async_wait([self](boost::system::error_code error) {
+                if (!error) {
+                    self->progress.notify();
+                }
+            });
+            co_await self->progress.wait();
+        }
+        co_return success();
+    }
+
+    Result<journal::Ticket> append(const std::vector<journal::Record> &records)
+    {
+        journal::Ticket last = 0;
+        for (const journal::Record &record : records) {
+            BOOST_OUTCOME_TRY(last, writer.append(record, now()));
+        }
+        return last;
+    }
+
+    static asio::awaitable<Result<void>> write(std::shared_ptr<Private> self,
+                                               std::vector<journal::Record> records,
+                                               Duration timeout)
+    {
+        const auto ticket = self->append(records);
+        if (!ticket) {
+            co_return ticket.error();
+        }
+        self->pump();
+        co_return co_await awaitDurable(self, ticket.value(), std::move(records), timeout);
+    }
+
+    static asio::awaitable<Result<void>>
+    writeSpends(std::shared_ptr<Private> self, std::vector<journal::Record> records,
+                std::vector<turns::SpendReport> spends, Duration timeout)
+    {
+        for (const turns::SpendReport &spend : spends) {
+            *records.emplace_back().mutable_program_spend() = toRecord(self->state.self(), spend);
+        }
+        const Result<void> done = co_await write(self, std::move(records), timeout);
+        if (done) {
+            for (const turns::SpendReport &spend : spends) {
+                self->state.budgets().onDurable(spend);
+            }
+        }
+        co_return done;
+    }
+
+    // Spending that does not become durable is written again with the next round.
+    static asio::awaitable<void> writeInBackground(std::shared_ptr<Private> self,
+                                                   std::vector<turns::SpendReport> spends)
+    {
+        std::vector<journal::Record> none;
+        const Result<void> done =
+            co_await writeSpends(self, std::move(none), std::move(spends), kNotKeepingAfter);
+        if (!done) {
+            self->log.warning("Spending is not durable yet.", Field("reason", done.error()));
+        }
+        self->isCovering = false;
+    }
+
+    asio::awaitable<store::Outcome> execute(store::Request request)
+    {
+        auto result = std::make_shared<std::optional<store::Outcome>>();
+        auto done = std::make_shared<transport::Signal>(executor);
+        access(std::move(request), [result, done](const store::Outcome &outcome) {
+            *result = outcome;
+            done->notify();
+        });
+        while (!*result) {
+            co_await done->wait();
+        }
+        co_return std::move(**result);
+    }
+
+    // Reads batches from the object API: of one incarnation after what is known, or all.
+    static asio::awaitable<Result<void>> read(std::shared_ptr<Private> self, store::List list)
+    {
+        const store::Outcome outcome = co_await self->execute(std::move(list));
+        if (!outcome) {
+            co_return outcome.error();
+        }
+        for (const store::Object &object : outcome.value()) {
+            self->take(object);
+        }
+        co_return success();
+    }
+
+    void take(const store::Object &object)
+    {
+        const Result<journal::Batch> batch = journal::decodeBatch(object.key, object.data);
+        if (!batch) {
+            log.warning("Skipped a journal batch.", Field("reason", batch.error()));
+            return;
+        }
+        for (const journal::Record &record : batch.value().records()) {
+            if (record.has_turn_kept()) {
+                learn(record.turn_kept());
+            } else if (record.has_program_spend()) {
+                const Incarnation spender(record.program_spend().incarnation());
+                spenders.insert(spender);
+                state.budgets().onPeerReport(spender, fromRecord(record.program_spend()), now());
+            }
+        }
+    }
+
+    void learn(const journal::TurnKept &turn)
+    {
+        state.turns().add({turns::TurnId(turn.turn_id()), TeamName(turn.team()),
+                           turns::TurnId(turn.previous_turn_id()), turn.input(), turn.output(),
+                           turn.kept_until_wall_ms()});
+        progress.notify();
+    }
+
+    // One reading at a time; whoever comes while one runs waits for the next, which begins later
+    // than the asking.
+    static asio::awaitable<Result<void>> refresh(std::shared_ptr<Private> self)
+    {
+        const std::uint64_t wanted = self->refreshesBegun + 1;
+        while (self->isRefreshing) {
+            co_await self->refreshed.wait();
+        }
+        if (self->refreshesBegun >= wanted) {
+            co_return self->lastRefresh;
+        }
+        self->isRefreshing = true;
+        ++self->refreshesBegun;
+        store::List all{journal::kJournalKind, ""};
+        self->lastRefresh = co_await read(self, std::move(all));
+        self->isRefreshing = false;
+        self->refreshed.notify();
+        co_return self->lastRefresh;
+    }
+
+    asio::any_io_executor executor;
+    StoreAccess access;
+    FleetState &state;
+    logging::Log log;
+    metrics::Counter &batches;
+    store::OperationIdSource ids;
+    journal::Writer writer;
+    transport::Signal progress;
+    asio::steady_timer wake;
+    std::optional<Instant> failingSince;
+    Relay relay;
+    std::optional<Instant> relayFailedAt;
+    Announce announce;
+    // Incarnations with spending in a journal.
+    std::set<Incarnation> spenders;
+    std::uint64_t refreshesBegun = 0;
+    bool isRefreshing = false;
+    transport::Signal refreshed{executor};
+    Result<void> lastRefresh = success();
+    bool isCovering = false;
+};
+
+TurnKeeper::TurnKeeper(const asio::any_io_executor &executor, StoreAccess access,
+                       FleetState &state, logging::Log log, metrics::Registry &registry)
+    : d(std::make_shared<Private>(executor, std::move(access), state, std::move(log), registry))
+{
+}
+
+TurnKeeper::~TurnKeeper()
+{
+    d->wake.cancel();
+}
+
+void TurnKeeper::setRelay(Relay relay)
+{
+    d->relay = std::move(relay);
+}
+
+void TurnKeeper::setAnnounce(Announce announce)
+{
+    d->announce = std::move(announce);
+}
+
+asio::awaitable<Result<void>> TurnKeeper::load()
+{
+    const auto self = d;
+    const Result<void> done = co_await Private::refresh(self);
+    if (done) {
+        for (const Incarnation &incarnation : self->spenders) {
+            self->state.budgets().onPeerGone(incarnation);
+        }
+    }
+    co_return done;
+}
+
+asio::awaitable<Result<void>> TurnKeeper::keep(turns::KeptTurn turn, ProgramId program,
+                                               Duration timeout)
+{
+    const auto self = d;
+    journal::Record record;
+    journal::TurnKept &kept = *record.mutable_turn_kept();
+    kept.set_turn_id(turn.id.value());
+    kept.set_team(turn.team.value());
+    kept.set_previous_turn_id(turn.previous.value());
+    kept.set_input(turn.input);
+    kept.set_output(turn.output);
+    kept.set_kept_until_wall_ms(turn.keptUntil);
+    if (self->announce) {
+        self->announce(kept);
+    }
+    self->state.turns().add(std::move(turn));
+    std::vector<turns::SpendReport> spends;
+    if (!program.isEmpty()) {
+        spends.push_back(self->state.budgets().record(program, 0));
+    }
+    std::vector<journal::Record> records;
+    records.push_back(std::move(record));
+    co_return co_await Private::writeSpends(self, std::move(records), std::move(spends), timeout);
+}
+
+asio::awaitable<Result<void>> TurnKeeper::cover(ProgramId program, std::uint64_t ahead,
+                                                Duration timeout)
+{
+    const auto self = d;
+    std::vector<turns::SpendReport> spends;
+    spends.push_back(self->state.budgets().record(program, ahead));
+    std::vector<journal::Record> none;
+    co_return co_await Private::writeSpends(self, std::move(none), std::move(spends), timeout);
+}
+
+void TurnKeeper::coverAll()
+{
+    if (d->isCovering) {
+        return;
+    }
+    std::vector<turns::SpendReport> spends;
+    for (const ProgramId &program : d->state.budgets().uncovered()) {
+        spends.push_back(d->state.budgets().record(program, 0));
+    }
+    if (spends.empty()) {
+        return;
+    }
+    d->isCovering = true;
+    asio::co_spawn(d->executor, Private::writeInBackground(d, std::move(spends)), asio::detached);
+}
+
+asio::awaitable<Result<void>> TurnKeeper::keepFor(std::vector<journal::Record> records,
+                                                  Duration timeout)
+{
+    const auto self = d;
+    const auto ticket = self->append(records);
+    if (!ticket) {
+        co_return ticket.error();
+    }
+    self->pump();
+    const Instant deadline = Private::now() + timeout;
+    asio::steady_timer alarm(self->executor);
+    alarm.expires_after(timeout);
+    alarm.async_wait([self](boost::system::error_code error) {
+        if (!error) {
+            self->progress.notify();
+        }
+    });
+    while (self->writer.durable() < ticket.value()) {
+        if (Private::now() >= deadline || self->writer.isSealed()) {
+            co_return Error(ErrorKind::StoreUnavailable, "the records are not durable yet");
+        }
+        co_await self->progress.wait();
+    }
+    co_return success();
+}
+
+asio::awaitable<Result<std::string>> TurnKeeper::prompt(turns::TurnId previous, TeamName team,
+                                                        std::string input)
+{
+    const auto self = d;
+    auto made = self->state.turns().prompt(previous, team, input);
+    if (made) {
+        co_return made;
+    }
+    asio::steady_timer pause(self->executor, kNewsWait);
+    (void)co_await pause.async_wait(kTuple);
+    made = self->state.turns().prompt(previous, team, input);
+    if (made) {
+        co_return made;
+    }
+    const Result<void> read = co_await Private::refresh(self);
+    made = self->state.turns().prompt(previous, team, input);
+    if (made || read) {
+        co_return made;
+    }
+    co_return Error(ErrorKind::StoreUnavailable, "the turn cannot be looked up")
+        .withNotRun()
+        .withRetryAfter(kStoreRetry);
+}
+
+bool TurnKeeper::isKeeping() const
+{
+    const Instant now = Private::now();
+    if (!d->failingSince || now - *d->failingSince < kNotKeepingAfter) {
+        return true;
+    }
+    return d->relay && (!d->relayFailedAt || now - *d->relayFailedAt > kRelayRetry);
+}
+
+void TurnKeeper::learn(const journal::TurnKept &turn)
+{
+    d->learn(turn);
+}
+
+void TurnKeeper::expire()
+{
+    d->state.turns().expire(MonotonicClock().wallMillis());
+    d->state.budgets().expire(Private::now() - kProgramMemory);
+}
+
+bool TurnKeeper::isIdle() const
+{
+    return d->writer.pendingBytes() == 0;
+}
+
+} // namespace basilhall::gateway
--- /dev/null
+++ b/basilhall/gateway/turn_keeper.h
@@ -0,0 +1,83 @@
+// Makes turns and spending durable in the platform's object API, and reads back what others kept.
+//
+//     TurnKeeper keeper(executor, access, state, log, registry);
+//     Result<void> loaded = co_await keeper.load();
+//     Result<void> kept = co_await keeper.keep(turn, program, 2s);
+//     Result<std::string> prompt = co_await keeper.prompt(previous, team, input);
+#pragma once
+
+#include "basilhall/base/result.h"
+#include "basilhall/gateway/fleet_state.h"
+#include "basilhall/gateway/store_access.h"
+#include "basilhall/journal/record.pb.h"
+#include "basilhall/logging/log.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace basilhall::metrics
+{
+class Registry;
+}
+
+namespace basilhall::gateway
+{
+
+// Not thread-safe: use from its executor. `state` must outlive it.
+class TurnKeeper
+{
+public:
+    // Hands records to a peer that reaches the object API; true once they are durable there.
+    using Relay = std::function<boost::asio::awaitable<bool>(std::vector<journal::Record>)>;
+    // Called for each turn that this process keeps, before it is durable.
+    using Announce = std::function<void(const journal::TurnKept &)>;
+
+    TurnKeeper(const boost::asio::any_io_executor &executor, StoreAccess access, FleetState &state,
+               logging::Log log, metrics::Registry &registry);
+    ~TurnKeeper();
+    TurnKeeper(const TurnKeeper &) = delete;
+    TurnKeeper &operator=(const TurnKeeper &) = delete;
+
+    void setRelay(Relay relay);
+    void setAnnounce(Announce announce);
+
+    // Reads all journals that are there. Until it has succeeded once, nothing is known for sure.
+    boost::asio::awaitable<Result<void>> load();
+
+    // Makes the turn durable, with the spending of its program. StoreUnavailable after `timeout`;
+    // the turn may still become durable later.
+    boost::asio::awaitable<Result<void>> keep(turns::KeptTurn turn, ProgramId program,
+                                              Duration timeout);
+    // Makes the spending of a program durable, with a cover for `ahead` more tokens.
+    boost::asio::awaitable<Result<void>> cover(ProgramId program, std::uint64_t ahead,
+                                               Duration timeout);
+    // Writes the spending that no record covers, in the background.
+    void coverAll();
+    // Makes records of a peer durable.
+    boost::asio::awaitable<Result<void>> keepFor(std::vector<journal::Record> records,
+                                                 Duration timeout);
+
+    // Returns the prompt of a turn; looks in the object API for turns that are not known here.
+    // NotFound only if it is sure.
+    boost::asio::awaitable<Result<std::string>> prompt(turns::TurnId previous, TeamName team,
+                                                       std::string input);
+
+    // False while the object API does not take records and no peer has taken them either.
+    bool isKeeping() const;
+    // Takes a record that a peer announced or a journal holds.
+    void learn(const journal::TurnKept &turn);
+    // Drops what is no longer kept.
+    void expire();
+    // True if nothing waits to become durable.
+    bool isIdle() const;
+
+private:
+    class Private;
+    std::shared_ptr<Private> d;
+};
+
+} // namespace basilhall::gateway
--- a/basilhall/http/client.cpp
+++ b/basilhall/http/client.cpp
@@ -1,9 +1,12 @@
 #include "basilhall/http/client.h"
 
+#include "basilhall/base/monotonic_clock.h"
 #include "basilhall/http/internal/client_response.h"
 #include "basilhall/http/internal/codec.h"
 #include "basilhall/http/internal/connection_pool.h"
 
+#include <algorithm>
+
 namespace basilhall::http
 {
 
@@ -76,18 +79,22 @@
         if (options.cancellation) {
             options.cancellation->bind([connection] { connection->cancel(); });
         }
-        connection->deadline().arm(timeout);
+        const Instant deadline = MonotonicClock().now() + timeout;
         Result<void> done = success();
         if (isNew) {
+            connection->deadline().arm(std::min(timeout, options.connectTimeout));
             done = co_await connection->connect();
         }
+        connection->deadline().arm(deadline - MonotonicClock().now());
         if (done) {
             done = co_await connection->write(std::move(bytes).value());
         }
         auto response =
             std::make_shared<ClientResponse>(pool, connection, request.method == "HEAD");
-        if (done) {
-            done = co_await response->readHeader();
+        // A server may answer before it has read the whole request, and close.
+        if (done || !done.error().notRun()) {
+            const Result<void> answered = co_await readOwnHeader(*response, options);
+            done = answered || done ? answered : done;
         }
         if (options.cancellation) {
             options.cancellation->bind(nullptr);
@@ -99,6 +106,21 @@
         co_return response;
     }
 
+    // Reads headers until one belongs to the request: a server may send a second answer to an
+    // earlier request.
+    static asio::awaitable<Result<void>> readOwnHeader(ClientResponse &response,
+                                                       const RequestOptions &options)
+    {
+        Result<void> done = co_await response.readHeader();
+        while (done && options.belongs && !options.belongs(response.headers())) {
+            done = co_await response.skip();
+            if (done) {
+                done = co_await response.readHeader();
+            }
+        }
+        co_return done;
+    }
+
     static asio::awaitable<Result<Response>> collect(std::shared_ptr<ClientResponse> response)
     {
         Response whole;
--- a/basilhall/http/client.h
+++ b/basilhall/http/client.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -42,6 +43,11 @@
     bool newConnection = false;
     // Cancels the request until its answer has begun.
     std::shared_ptr<Cancellation> cancellation;
+    // Bounds the connecting within the timeout of the request.
+    Duration connectTimeout = Duration::max();
+    // Tells whether an answer with these headers is the one to this request; others are read and
+    // dropped. Empty if any answer is.
+    std::function<bool(const Headers &)> belongs;
 };
 
 // Not thread-safe: use from its executor, which one thread runs.
--- a/basilhall/http/internal/client_response.cpp
+++ b/basilhall/http/internal/client_response.cpp
@@ -2,11 +2,13 @@
 
 #include "basilhall/http/internal/codec.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/none.hpp>
+#include <charconv>
 
 namespace basilhall::http
 {
@@ -21,6 +23,23 @@
 constexpr std::uint32_t kMaxHeaderBytes = 32 * 1024;
 constexpr std::size_t kPartBytes = 8 * 1024;
 constexpr int kFirstFinalStatus = 200;
+// Servers count their idle time from before the answer arrives here.
+constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(500);
+constexpr std::string_view kTimeoutParameter = "timeout=";
+
+// Time for which the server keeps the connection, less a margin; nothing if it does not say.
+std::optional<Duration> keepAliveTime(const Headers &headers)
+{
+    const std::string_view text = findHeader(headers, "Keep-Alive").value_or("");
+    const std::size_t at = text.find(kTimeoutParameter);
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view number = text.substr(at + kTimeoutParameter.size());
+    int seconds = 0;
+    std::from_chars(number.data(), number.data() + number.size(), seconds);
+    return std::max(Duration(std::chrono::seconds(seconds)) - kKeepAliveMargin, Duration::zero());
+}
 
 } // namespace
 
@@ -28,26 +47,33 @@
                                std::shared_ptr<ClientConnection> connection, bool headOnly)
     : m_pool(std::move(pool))
     , m_connection(std::move(connection))
+    , m_headOnly(headOnly)
 {
-    m_parser.header_limit(kMaxHeaderBytes);
-    m_parser.body_limit(boost::none);
-    m_parser.skip(headOnly);
+    beginAnswer();
+}
+
+void ClientResponse::beginAnswer()
+{
+    m_parser = std::make_unique<Parser>();
+    m_parser->header_limit(kMaxHeaderBytes);
+    m_parser->body_limit(boost::none);
+    m_parser->skip(m_headOnly);
 }
 
 asio::awaitable<Result<void>> ClientResponse::readHeader()
 {
     const auto self = shared_from_this();
     const auto [error, bytes] = co_await beast::http::async_read_header(
-        m_connection->socket(), m_connection->buffer(), m_parser, kTuple);
+        m_connection->socket(), m_connection->buffer(), *m_parser, kTuple);
     if (error) {
         co_return m_connection->lost("reading the answer header");
     }
-    m_status = static_cast<int>(m_parser.get().result_int());
+    m_status = static_cast<int>(m_parser->get().result_int());
     if (m_status < kFirstFinalStatus) {
         co_return Error(ErrorKind::EndpointFailed,
                         "interim status " + std::to_string(m_status) + " is not supported");
     }
-    m_headers = toHeaders(m_parser.get());
+    m_headers = toHeaders(m_parser->get());
     co_return success();
 }
 
@@ -55,16 +81,16 @@
 {
     const auto self = shared_from_this();
     std::array<char, kPartBytes> part; // NOLINT: filled by the parser
-    while (!m_parser.is_done()) {
-        auto &body = m_parser.get().body();
+    while (!m_parser->is_done()) {
+        auto &body = m_parser->get().body();
         body.data = part.data();
         body.size = part.size();
         auto [error, bytes] = co_await beast::http::async_read_some(
-            m_connection->socket(), m_connection->buffer(), m_parser, kTuple);
+            m_connection->socket(), m_connection->buffer(), *m_parser, kTuple);
         if (error && error != beast::http::error::need_buffer) {
             co_return m_connection->lost("reading the answer body");
         }
-        const std::size_t size = part.size() - m_parser.get().body().size;
+        const std::size_t size = part.size() - m_parser->get().body().size;
         if (size > 0) {
             co_return std::string(part.data(), size);
         }
@@ -72,14 +98,33 @@
     co_return std::optional<std::string>();
 }
 
+asio::awaitable<Result<void>> ClientResponse::skip()
+{
+    while (true) {
+        const auto part = co_await readPart();
+        if (!part) {
+            co_return part.error();
+        }
+        if (!part.value()) {
+            break;
+        }
+    }
+    if (!m_parser->keep_alive()) {
+        co_return Error(ErrorKind::EndpointFailed,
+                        "connection ended with the answer to another request");
+    }
+    beginAnswer();
+    co_return success();
+}
+
 void ClientResponse::finish()
 {
     if (std::exchange(m_finished, true)) {
         return;
     }
     m_connection->deadline().disarm();
-    if (m_parser.is_done() && m_parser.keep_alive() && m_connection->buffer().size() == 0) {
-        m_pool->give(m_connection);
+    if (m_parser->is_done() && m_parser->keep_alive() && m_connection->buffer().size() == 0) {
+        m_pool->give(m_connection, keepAliveTime(m_headers));
     } else {
         m_connection->cancel();
     }
--- a/basilhall/http/internal/codec.cpp
+++ b/basilhall/http/internal/codec.cpp
@@ -147,7 +147,9 @@
     message.target(request.target);
     message.version(kVersionWithChunks);
     copyHeaders(request.headers, message);
-    message.set(beast::http::field::host, host);
+    if (message.find(beast::http::field::host) == message.end()) {
+        message.set(beast::http::field::host, host);
+    }
     message.body() = request.body;
     if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
         message.content_length(request.body.size());
--- a/basilhall/http/internal/codec.h
+++ b/basilhall/http/internal/codec.h
@@ -33,6 +33,7 @@
 // Returns one chunk of a chunked body.
 std::string encodeChunk(std::string_view bytes);
 // Returns the bytes of a request, or InvalidRequest if a field holds control characters.
+// `host` stands in for a request without the field.
 Result<std::string> encodeRequest(const Request &request, std::string_view host);
 
 // Returns the JSON answer to `error`.
--- a/basilhall/http/internal/connection_pool.cpp
+++ b/basilhall/http/internal/connection_pool.cpp
@@ -2,6 +2,8 @@
 
 #include "basilhall/http/internal/socket_options.h"
 
+#include <algorithm>
+
 namespace basilhall::http
 {
 
@@ -25,13 +27,13 @@
     if (found == m_idle.end()) {
         return nullptr;
     }
-    const auto oldest = std::chrono::steady_clock::now() - kMaxIdleTime;
+    const auto now = std::chrono::steady_clock::now();
     auto &idle = found->second;
     std::shared_ptr<ClientConnection> taken;
     while (!taken && !idle.empty()) {
         Idle last = std::move(idle.back());
         idle.pop_back();
-        if (last.since >= oldest && isIdle(last.connection->socket())) {
+        if (now < last.until && isIdle(last.connection->socket())) {
             taken = std::move(last.connection);
         }
     }
@@ -41,13 +43,18 @@
     return taken;
 }
 
-void ConnectionPool::give(std::shared_ptr<ClientConnection> connection)
+void ConnectionPool::give(std::shared_ptr<ClientConnection> connection,
+                          std::optional<Duration> keepTime)
 {
+    const Duration idleTime = std::min(keepTime.value_or(kMaxIdleTime), Duration(kMaxIdleTime));
+    if (idleTime <= Duration::zero()) {
+        return;
+    }
     auto &idle = m_idle[connection->server()];
     if (idle.size() >= kMaxIdlePerServer) {
         idle.erase(idle.begin());
     }
-    idle.push_back({std::move(connection), std::chrono::steady_clock::now()});
+    idle.push_back({std::move(connection), std::chrono::steady_clock::now() + idleTime});
 }
 
 } // namespace basilhall::http
--- a/basilhall/http/internal/connection_pool.h
+++ b/basilhall/http/internal/connection_pool.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace basilhall::http
@@ -20,12 +21,13 @@
     const boost::asio::any_io_executor &executor() const { return m_executor; }
     // Returns an idle connection that the server has not closed, or nothing.
     std::shared_ptr<ClientConnection> take(const Address &server);
-    void give(std::shared_ptr<ClientConnection> connection);
+    // `keepTime` is how long the server says it keeps the connection, if it does.
+    void give(std::shared_ptr<ClientConnection> connection, std::optional<Duration> keepTime);
 
 private:
     struct Idle {
         std::shared_ptr<ClientConnection> connection;
-        std::chrono::steady_clock::time_point since;
+        std::chrono::steady_clock::time_point until;
     };
 
     boost::asio::any_io_executor m_executor;
--- a/basilhall/http/internal/socket_options.cpp
+++ b/basilhall/http/internal/socket_options.cpp
@@ -10,9 +10,11 @@
 namespace
 {
 
-constexpr int kKeepAliveIdleSeconds = 10;
-constexpr int kKeepAliveIntervalSeconds = 5;
-constexpr int kKeepAliveProbes = 3;
+// A peer whose host is dark or whose connection went silent is noticed within 3 s.
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+constexpr int kUserTimeoutMillis = 3000;
 
 void setTcpOption(int descriptor, int option, int value)
 {
@@ -30,6 +32,7 @@
     setTcpOption(descriptor, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
     setTcpOption(descriptor, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
     setTcpOption(descriptor, TCP_KEEPCNT, kKeepAliveProbes);
+    setTcpOption(descriptor, TCP_USER_TIMEOUT, kUserTimeoutMillis);
 }
 
 bool isIdle(boost::asio::ip::tcp::socket &socket)
--- a/basilhall/http/server.cpp
+++ b/basilhall/http/server.cpp
@@ -71,15 +71,23 @@
 
     std::size_t connections() const { return m_connections.size(); }
 
-    void stopAccepting()
+    void setLimits(ServerLimits limits) { m_limits = limits; }
+
+    void closeAfterAnswers()
     {
-        boost::system::error_code ignored;
-        m_acceptor.close(ignored);
+        m_draining = true;
         for (const auto &connection : m_connections) {
             connection->drain();
         }
     }
 
+    void stopAccepting()
+    {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        closeAfterAnswers();
+    }
+
     void close()
     {
         boost::system::error_code ignored;
@@ -98,6 +106,9 @@
         const auto connection =
             std::make_shared<Connection>(std::move(socket), m_limits, m_handler, m_active);
         m_connections.insert(connection);
+        if (m_draining) {
+            connection->drain();
+        }
         asio::co_spawn(m_acceptor.get_executor(), serve(connection), asio::detached);
     }
 
@@ -110,9 +121,10 @@
 
     tcp::acceptor m_acceptor;
     const tcp::endpoint m_local;
-    const ServerLimits m_limits;
+    ServerLimits m_limits;
     const Handler m_handler;
     std::shared_ptr<std::size_t> m_active = std::make_shared<std::size_t>(0);
+    bool m_draining = false;
     std::unordered_set<std::shared_ptr<Connection>> m_connections;
 };
 
@@ -144,6 +156,16 @@
     return d->connections();
 }
 
+void Server::setLimits(ServerLimits limits)
+{
+    d->setLimits(limits);
+}
+
+void Server::closeAfterAnswers()
+{
+    d->closeAfterAnswers();
+}
+
 void Server::stopAccepting()
 {
     d->stopAccepting();
--- a/basilhall/http/server.h
+++ b/basilhall/http/server.h
@@ -44,8 +44,12 @@
     Address address() const;
     // Number of requests whose answer is not complete.
     std::size_t activeExchanges() const;
+    // Limits of connections accepted from now on.
+    void setLimits(ServerLimits limits);
     // Number of open connections, idle ones included.
     std::size_t connections() const;
+    // Closes each connection after the answer in progress, later ones after their first answer.
+    void closeAfterAnswers();
     // Stops accepting and closes each connection after the answer in progress.
     void stopAccepting();
     // Closes the listener and all connections.
--- /dev/null
+++ b/basilhall/limit/shared_rate_test.cpp
@@ -0,0 +1,55 @@
+#include "basilhall/limit/shared_rate.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace basilhall;
+using namespace basilhall::limit;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const Instant kStart{};
+const Rate kRate{10'000, 20};
+
+int admitAll(SharedRate &rate, Instant now)
+{
+    int admitted = 0;
+    while (rate.admit(now)) {
+        ++admitted;
+    }
+    return admitted;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(shared_rate)
+
+BOOST_AUTO_TEST_CASE(refillsAtTheRateUpToTheBurst)
+{
+    SharedRate rate(kRate, kStart);
+    BOOST_TEST(admitAll(rate, kStart) == 0);
+    BOOST_TEST(admitAll(rate, kStart + 1s) == 10);
+    BOOST_TEST(admitAll(rate, kStart + 60s) == 20);
+    BOOST_TEST((rate.wait(kStart + 60s) == Duration(100ms)));
+}
+
+BOOST_AUTO_TEST_CASE(whatOthersAdmitCounts)
+{
+    SharedRate rate(kRate, kStart);
+    rate.onPeerAdmitted(15, kStart + 60s);
+    BOOST_TEST(admitAll(rate, kStart + 60s) == 5);
+    rate.onPeerAdmitted(10, kStart + 60s);
+    BOOST_TEST(admitAll(rate, kStart + 61s) == 0);
+    BOOST_TEST(admitAll(rate, kStart + 62s) == 10);
+}
+
+BOOST_AUTO_TEST_CASE(aShareBoundsRateAndBurst)
+{
+    SharedRate rate(kRate, kStart);
+    rate.setShare(1, 2, kStart + 60s);
+    BOOST_TEST(admitAll(rate, kStart + 60s) == 10);
+    BOOST_TEST(admitAll(rate, kStart + 61s) == 5);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/basilhall/logging/log_settings.h
+++ b/basilhall/logging/log_settings.h
@@ -20,7 +20,7 @@
 struct LogSettings {
     Level level = Level::Info;
     Format format = Format::Text;
-    // Empty for standard error. A file is kept below kMaxFileBytes and rolled kMaxFiles times.
+    // Empty for standard output. A file is kept below kMaxFileBytes and rolled kMaxFiles times.
     std::string file;
 
     auto operator<=>(const LogSettings &) const = default;
--- a/basilhall/logging/log_system.cpp
+++ b/basilhall/logging/log_system.cpp
@@ -2,6 +2,7 @@
 
 #include "basilhall/logging/internal/part.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/hierarchy.h>
 #include <log4cxx/patternlayout.h>
@@ -29,8 +30,14 @@
 {
     const log4cxx::LayoutPtr layout = makeLayout(settings.format);
     if (settings.file.empty()) {
-        return std::make_shared<log4cxx::ConsoleAppender>(layout,
-                                                          log4cxx::ConsoleAppender::getSystemErr());
+        const auto console = std::make_shared<log4cxx::ConsoleAppender>(
+            layout, log4cxx::ConsoleAppender::getSystemOut());
+        const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+        queue->addAppender(console);
+        queue->setBufferSize(kMaxQueuedLines);
+        // A full queue drops lines and says how many.
+        queue->setBlocking(false);
+        return queue;
     }
     log4cxx::helpers::Pool pool;
     auto rolling = std::make_shared<log4cxx::rolling::FixedWindowRollingPolicy>();
--- a/basilhall/logging/log_system.h
+++ b/basilhall/logging/log_system.h
@@ -18,6 +18,9 @@
 // Bounds of a log file and number of older files that are kept.
 inline constexpr std::uint64_t kMaxFileBytes = 10 * 1024 * 1024;
 inline constexpr int kMaxFiles = 5;
+// Lines that wait for a standard output that does not drain, about a second of a busy process;
+// further ones are dropped and counted, so that no thread ever waits for it.
+inline constexpr int kMaxQueuedLines = 2000;
 
 // Thread-safe. Logs stay usable after it is gone; they write nothing then.
 class LogSystem
--- a/basilhall/program/program_table.cpp
+++ b/basilhall/program/program_table.cpp
@@ -39,6 +39,8 @@
         return applyEnded(record.program_ended());
     case journal::Record::kLeaseRenewed:
     case journal::Record::kLimitReleased:
+    case journal::Record::kTurnKept:
+    case journal::Record::kProgramSpend:
         return success();
     case journal::Record::kProgramSnapshot:
         return applySnapshot(record.shard(), record.program_snapshot());
--- a/basilhall/settings/internal/settings_reader.cpp
+++ b/basilhall/settings/internal/settings_reader.cpp
@@ -39,6 +39,19 @@
     return count;
 }
 
+// The processes that know a key, as a list.
+std::string ownersOf(const KeySpec &spec)
+{
+    std::string owners;
+    for (const ProcessKind kind : {ProcessKind::Entry, ProcessKind::Agent, ProcessKind::Gateway,
+                                   ProcessKind::Steward}) {
+        if (knows(kind, spec)) {
+            owners += (owners.empty() ? "" : ", ") + std::string(toString(kind));
+        }
+    }
+    return owners;
+}
+
 bool isAmong(std::string_view choices, const std::string &value)
 {
     return choices.find("`" + value + "`") != std::string_view::npos;
@@ -153,10 +166,8 @@
             continue;
         }
         place.table->ignore(place.key);
-        const ProcessKind other =
-            m_kind == ProcessKind::Entry ? ProcessKind::Agent : ProcessKind::Entry;
-        place.table->addFault(place.key,
-                              "is a key of " + std::string(toString(other)) + " settings alone");
+        place.table->addFault(place.key, "is no key of " + std::string(toString(m_kind))
+                                             + " settings, but of " + ownersOf(spec));
     }
     m_root.reportUnknownKeys();
     if (m_log) {
--- a/basilhall/settings/key_spec.h
+++ b/basilhall/settings/key_spec.h
@@ -23,11 +23,19 @@
     Choice,
 };
 
-// Which processes know a key.
-enum class KeyScope {
-    Entry,
-    Agent,
-    Both,
+// Which processes know a key; the values are sets of bits, one for each kind of process.
+enum class KeyScope : unsigned {
+    Entry = 1U << 0U,
+    Agent = 1U << 1U,
+    Gateway = 1U << 2U,
+    Steward = 1U << 3U,
+    // Processes that callers connect to.
+    Fronts = Entry | Gateway,
+    // Processes with peers.
+    Peers = Entry | Agent | Gateway,
+    // Processes that use the object API.
+    StoreUsers = Entry | Gateway | Steward,
+    All = Entry | Agent | Gateway | Steward,
 };
 
 struct KeySpec {
@@ -54,6 +62,9 @@
 // Returns the row of `key`; nullptr if there is none.
 const KeySpec *findKey(std::string_view key);
 
+// Returns the scope of the one process.
+KeyScope scopeOf(ProcessKind kind);
+
 // True if a process of `kind` knows the key.
 bool knows(ProcessKind kind, const KeySpec &spec);
 
--- a/basilhall/settings/key_table.cpp
+++ b/basilhall/settings/key_table.cpp
@@ -17,19 +17,19 @@
 }
 
 constexpr std::array kTable{
-    KeySpec{"process", KeyScope::Both, KeyType::Choice, "", "`entry`, `agent`", "", true,
+    KeySpec{"process", KeyScope::All, KeyType::Choice, "", "`entry`, `agent`, `gateway`, `steward`", "", true,
             "Kind of process that the file is for."},
-    KeySpec{"host", KeyScope::Both, KeyType::Name, "", "1 to 63 letters, digits, `-`, `_` and `.`",
+    KeySpec{"host", KeyScope::All, KeyType::Name, "", "1 to 63 letters, digits, `-`, `_` and `.`",
             "", true, "Name of the host, as the manifest and the host list have it."},
-    KeySpec{"failure_domain", KeyScope::Both, KeyType::Name, "",
+    KeySpec{"failure_domain", KeyScope::All, KeyType::Name, "",
             "1 to 63 letters, digits, `-`, `_` and `.`", "", true, "Failure domain of the host."},
-    KeySpec{"peer_listen", KeyScope::Both, KeyType::Address, "", "", "", true,
+    KeySpec{"peer_listen", KeyScope::Peers, KeyType::Address, "", "", "", true,
             "Where other processes of basilhall connect."},
-    KeySpec{"operator_listen", KeyScope::Both, KeyType::Address, "", "", "", true,
+    KeySpec{"operator_listen", KeyScope::All, KeyType::Address, "", "", "", true,
             "Where operators and the metrics collector connect."},
-    KeySpec{"listen", KeyScope::Entry, KeyType::Address, "", "", "", true,
+    KeySpec{"listen", KeyScope::Fronts, KeyType::Address, "", "", "", true,
             "Where callers connect."},
-    KeySpec{"object_api", KeyScope::Entry, KeyType::Address, "", "", "", true,
+    KeySpec{"object_api", KeyScope::StoreUsers, KeyType::Address, "", "", "", true,
             "Address of the platform's object API."},
     KeySpec{"object_namespace", KeyScope::Entry, KeyType::Name, "",
             "1 to 63 letters, digits, `-`, `_` and `.`", "\"basilhall\"", false,
@@ -46,6 +46,13 @@
             "Least time between two writes of the journal. Longer means fewer writes to the object "
             "API and later ends of turns.",
             nanoseconds(1ms), nanoseconds(10s)},
+    KeySpec{"ready_listen", KeyScope::Gateway, KeyType::Address, "", "", "", true,
+            "Where the platform asks whether the host takes callers."},
+    KeySpec{"shutdown_grace", KeyScope::Gateway, KeyType::Duration, "duration", "1 s to 10 min",
+            "\"8 s\"", false,
+            "Time from SIGTERM until the platform kills the process. Requests that still run shortly "
+            "before its end are cut.",
+            nanoseconds(1s), nanoseconds(10min)},
     KeySpec{"endpoint", KeyScope::Agent, KeyType::Name, "",
             "1 to 63 letters, digits, `-`, `_` and `.`", "", true,
             "Name of the endpoint, as the manifest has it."},
@@ -58,13 +65,13 @@
             100'000},
     KeySpec{"honours_fencing", KeyScope::Agent, KeyType::Flag, "", "`true`, `false`", "false",
             false, "True if the endpoint refuses an order with an old fencing number."},
-    KeySpec{"log.level", KeyScope::Both, KeyType::Choice, "",
+    KeySpec{"log.level", KeyScope::All, KeyType::Choice, "",
             "`debug`, `info`, `warning`, `error`, `off`", "\"info\"", false,
             "Lines below this level are not written. Can be changed in a running process."},
-    KeySpec{"log.format", KeyScope::Both, KeyType::Choice, "", "`text`, `json`", "\"text\"", false,
+    KeySpec{"log.format", KeyScope::All, KeyType::Choice, "", "`text`, `json`", "\"text\"", false,
             "Sentences with key=value fields, or one JSON object a line."},
-    KeySpec{"log.file", KeyScope::Both, KeyType::Path, "", "", "", false,
-            "File of the log; 10 MiB, rolled 5 times. Without it, the log goes to standard error."},
+    KeySpec{"log.file", KeyScope::All, KeyType::Path, "", "", "", false,
+            "File of the log; 10 MiB, rolled 5 times. Without it, the log goes to standard output; lines are dropped and counted while it does not drain."},
 };
 
 } // namespace
@@ -81,10 +88,24 @@
     return found == kTable.end() ? nullptr : found;
 }
 
+KeyScope scopeOf(ProcessKind kind)
+{
+    switch (kind) {
+    case ProcessKind::Entry:
+        return KeyScope::Entry;
+    case ProcessKind::Agent:
+        return KeyScope::Agent;
+    case ProcessKind::Gateway:
+        return KeyScope::Gateway;
+    case ProcessKind::Steward:
+        break;
+    }
+    return KeyScope::Steward;
+}
+
 bool knows(ProcessKind kind, const KeySpec &spec)
 {
-    return spec.scope == KeyScope::Both
-        || (spec.scope == KeyScope::Entry) == (kind == ProcessKind::Entry);
+    return (static_cast<unsigned>(spec.scope) & static_cast<unsigned>(scopeOf(kind))) != 0;
 }
 
 } // namespace basilhall::settings
--- a/basilhall/settings/parser.cpp
+++ b/basilhall/settings/parser.cpp
@@ -99,20 +99,64 @@
     return agent;
 }
 
+GatewaySettings readGateway(SettingsReader &reader, config::Table &root)
+{
+    GatewaySettings gateway;
+    gateway.host = HostName(reader.name("host"));
+    gateway.failureDomain = FailureDomain(reader.name("failure_domain"));
+    gateway.listen = reader.address("listen");
+    gateway.readyListen = reader.address("ready_listen");
+    gateway.peerListen = reader.address("peer_listen");
+    gateway.operatorListen = reader.address("operator_listen");
+    gateway.objectApi = reader.address("object_api");
+    gateway.shutdownGrace = reader.duration("shutdown_grace");
+    gateway.log = readLog(reader);
+    checkDistinct({{"listen", gateway.listen},
+                   {"ready_listen", gateway.readyListen},
+                   {"peer_listen", gateway.peerListen},
+                   {"operator_listen", gateway.operatorListen},
+                   {"object_api", gateway.objectApi}},
+                  root);
+    checkConnectable("object_api", gateway.objectApi, root);
+    return gateway;
+}
+
+StewardSettings readSteward(SettingsReader &reader, config::Table &root)
+{
+    StewardSettings steward;
+    steward.host = HostName(reader.name("host"));
+    steward.failureDomain = FailureDomain(reader.name("failure_domain"));
+    steward.operatorListen = reader.address("operator_listen");
+    steward.objectApi = reader.address("object_api");
+    steward.log = readLog(reader);
+    checkConnectable("object_api", steward.objectApi, root);
+    return steward;
+}
+
+// Reads the settings of `kind` with `read` if `process` names it.
+template<typename Read>
+bool readIf(ProcessKind kind, const std::optional<std::string> &process, config::Table &root,
+            ParsedSettings &parsed, const Read &read)
+{
+    if (process != toString(kind)) {
+        return false;
+    }
+    SettingsReader reader(root, kind);
+    parsed.settings = read(reader, root);
+    reader.reportUnknownKeys();
+    return true;
+}
+
 void readSettings(config::Table &root, ParsedSettings &parsed)
 {
     root.require("process");
     const std::optional<std::string> process = root.string("process");
-    if (process == toString(ProcessKind::Entry)) {
-        SettingsReader reader(root, ProcessKind::Entry);
-        parsed.settings = readEntry(reader, root);
-        reader.reportUnknownKeys();
-    } else if (process == toString(ProcessKind::Agent)) {
-        SettingsReader reader(root, ProcessKind::Agent);
-        parsed.settings = readAgent(reader, root);
-        reader.reportUnknownKeys();
-    } else if (process) {
-        root.addFault("process", "must be one of `entry`, `agent`");
+    const bool isKnown = readIf(ProcessKind::Entry, process, root, parsed, readEntry)
+        || readIf(ProcessKind::Agent, process, root, parsed, readAgent)
+        || readIf(ProcessKind::Gateway, process, root, parsed, readGateway)
+        || readIf(ProcessKind::Steward, process, root, parsed, readSteward);
+    if (process && !isKnown) {
+        root.addFault("process", "must be one of `entry`, `agent`, `gateway`, `steward`");
     }
 }
 
@@ -120,7 +164,17 @@
 
 std::string_view toString(ProcessKind kind)
 {
-    return kind == ProcessKind::Entry ? "entry" : "agent";
+    switch (kind) {
+    case ProcessKind::Entry:
+        return "entry";
+    case ProcessKind::Agent:
+        return "agent";
+    case ProcessKind::Gateway:
+        return "gateway";
+    case ProcessKind::Steward:
+        break;
+    }
+    return "steward";
 }
 
 ParsedSettings parse(std::string file, std::string_view text)
--- a/basilhall/settings/parser.h
+++ b/basilhall/settings/parser.h
@@ -7,6 +7,8 @@
 #include "basilhall/config/fault.h"
 #include "basilhall/settings/agent_settings.h"
 #include "basilhall/settings/entry_settings.h"
+#include "basilhall/settings/gateway_settings.h"
+#include "basilhall/settings/steward_settings.h"
 
 #include <string>
 #include <string_view>
@@ -17,7 +19,8 @@
 
 struct ParsedSettings {
     // Empty if there is a fault.
-    std::variant<std::monostate, EntrySettings, AgentSettings> settings;
+    std::variant<std::monostate, EntrySettings, AgentSettings, GatewaySettings, StewardSettings>
+        settings;
     // Ordered by place. A fault of syntax hides the rest.
     config::Faults faults;
 };
--- a/basilhall/settings/process_kind.h
+++ b/basilhall/settings/process_kind.h
@@ -1,4 +1,4 @@
-// The two kinds of process that the settings are for.
+// The kinds of process that the settings are for.
 #pragma once
 
 #include <string_view>
@@ -9,9 +9,13 @@
 enum class ProcessKind {
     Entry,
     Agent,
+    // Carries callers' requests to endpoints on the users' platform.
+    Gateway,
+    // Answers for a host with a disk.
+    Steward,
 };
 
-// Returns the value of the key `process`: "entry" or "agent".
+// Returns the value of the key `process`, such as "entry".
 std::string_view toString(ProcessKind kind);
 
 } // namespace basilhall::settings
--- a/basilhall/settings/reference_page.cpp
+++ b/basilhall/settings/reference_page.cpp
@@ -63,7 +63,8 @@
 {
     std::string text = "\n## " + std::string(title) + "\n" + std::string(kHead);
     for (const KeySpec &spec : keyTable()) {
-        if (spec.scope == scope) {
+        const bool isOwn = (static_cast<unsigned>(spec.scope) & static_cast<unsigned>(scope)) != 0;
+        if (isOwn && (scope == KeyScope::All) == (spec.scope == KeyScope::All)) {
             text += row(spec);
         }
     }
@@ -74,8 +75,9 @@
 
 std::string referencePage()
 {
-    return std::string(kIntroduction) + section("Both kinds of process", KeyScope::Both)
-        + section("Entry", KeyScope::Entry) + section("Agent", KeyScope::Agent);
+    return std::string(kIntroduction) + section("All kinds of process", KeyScope::All)
+        + section("Entry", KeyScope::Entry) + section("Agent", KeyScope::Agent)
+        + section("Gateway", KeyScope::Gateway) + section("Steward", KeyScope::Steward);
 }
 
 } // namespace basilhall::settings
--- a/basilhall/store/internal/kube_document.cpp
+++ b/basilhall/store/internal/kube_document.cpp
@@ -1,6 +1,6 @@
 #include "basilhall/store/internal/kube_document.h"
 
-#include "basilhall/store/internal/base64.h"
+#include "basilhall/base/base64.h"
 
 #include <boost/json.hpp>
 
--- /dev/null
+++ b/basilhall/turns/budget_ledger.h
@@ -0,0 +1,107 @@
+// What the programs have spent of their token budgets, over all gateways.
+//
+// Each incarnation counts what it hands out itself and hears the counts of the others. What is in
+// flight counts at its most. Before a turn starts, all that this incarnation handed out or has in
+// flight for the program must be covered by a durable record, so that after the loss of every
+// process at most one turn of each gateway is unknown.
+//
+//     BudgetLedger ledger(self);
+//     switch (ledger.admit(program, team, budget, most)) {
+//     case Admission::Admitted: ...     // ledger.settle(program, most, spent) later
+//     case Admission::NeedsRecord: ...  // write ledger.record(program), then ledger.onDurable()
+//     case Admission::Exhausted: ...
+//     }
+#pragma once
+
+#include "basilhall/base/identifier.h"
+#include "basilhall/base/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace basilhall::turns
+{
+
+enum class Admission {
+    Admitted,
+    // The program's record has to be durable first.
+    NeedsRecord,
+    // One more turn might exceed the budget.
+    Exhausted,
+};
+
+// What one incarnation says of one program. Immutable value.
+struct SpendReport {
+    ProgramId program;
+    TeamName team;
+    std::uint64_t spent = 0;
+    std::uint64_t covered = 0;
+    std::uint64_t inFlight = 0;
+
+    auto operator<=>(const SpendReport &) const = default;
+};
+
+// Not thread-safe. All amounts are tokens.
+class BudgetLedger
+{
+public:
+    explicit BudgetLedger(Incarnation self);
+
+    // Asks to run a turn of at most `most` tokens; on Admitted it is in flight.
+    Admission admit(const ProgramId &program, const TeamName &team, std::uint64_t budget,
+                    std::uint64_t most, Instant now);
+    // A turn that was admitted with `most` has ended and handed out `spent`.
+    void settle(const ProgramId &program, std::uint64_t most, std::uint64_t spent, Instant now);
+
+    // Returns the own record of a program, with a cover for what is spent and in flight and for
+    // `ahead` more.
+    SpendReport record(const ProgramId &program, std::uint64_t ahead) const;
+    // The record is durable.
+    void onDurable(const SpendReport &record);
+    // Returns the own programs that changed since the last call, for peers.
+    std::vector<SpendReport> takeChanges();
+    // Returns all own programs, for a peer that has just connected.
+    std::vector<SpendReport> ownReports() const;
+    // Programs with spending that no record covers.
+    std::vector<ProgramId> uncovered() const;
+
+    // Takes what another incarnation, or its journal, says.
+    void onPeerReport(const Incarnation &peer, const SpendReport &report, Instant now);
+    // The incarnation is gone: what it had covered or in flight counts as spent.
+    void onPeerGone(const Incarnation &peer);
+
+    // Drops programs without change since `before`.
+    void expire(Instant before);
+    std::uint64_t spent(const ProgramId &program) const;
+    std::size_t size() const { return m_programs.size(); }
+
+private:
+    struct Share {
+        std::uint64_t spent = 0;
+        std::uint64_t covered = 0;
+        std::uint64_t inFlight = 0;
+        // The share comes from a journal and no live process vouches for it.
+        bool isGone = false;
+
+        std::uint64_t most() const;
+    };
+    struct Account {
+        TeamName team;
+        std::map<Incarnation, Share> shares;
+        Instant changed;
+        bool hasNews = false;
+    };
+
+    Account &account(const ProgramId &program, Instant now);
+    SpendReport report(const ProgramId &program, const Account &account) const;
+
+    Incarnation m_self;
+    std::unordered_map<ProgramId, Account> m_programs;
+    std::vector<ProgramId> m_news;
+};
+
+} // namespace basilhall::turns
--- /dev/null
+++ b/basilhall/turns/turn_table.cpp
@@ -0,0 +1,52 @@
+#include "basilhall/turns/turn_table.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace basilhall::turns
+{
+
+void TurnTable::add(KeptTurn turn)
+{
+    const WallMillis keptUntil = turn.keptUntil;
+    TurnId next = turn.previous;
+    const auto [at, isNew] = m_turns.try_emplace(turn.id, turn);
+    at->second.keptUntil = std::max(at->second.keptUntil, keptUntil);
+    // A chain that was extended before reaches this far already.
+    for (auto found = m_turns.find(next);
+         found != m_turns.end() && found->second.keptUntil < keptUntil;
+         found = m_turns.find(found->second.previous)) {
+        found->second.keptUntil = keptUntil;
+    }
+}
+
+Result<std::string> TurnTable::prompt(const TurnId &previous, const TeamName &team,
+                                      const std::string &input) const
+{
+    std::vector<const KeptTurn *> chain;
+    std::size_t bytes = input.size();
+    for (const TurnId *id = &previous; !id->isEmpty(); id = &chain.back()->previous) {
+        const auto found = m_turns.find(*id);
+        if (found == m_turns.end() || found->second.team != team) {
+            return Error(ErrorKind::NotFound, "turn \"" + id->value() + "\" does not exist")
+                .withNotRun();
+        }
+        chain.push_back(&found->second);
+        bytes += found->second.input.size() + found->second.output.size();
+    }
+    std::string prompt;
+    prompt.reserve(bytes);
+    std::for_each(chain.rbegin(), chain.rend(), [&prompt](const KeptTurn *turn) {
+        prompt += turn->input;
+        prompt += turn->output;
+    });
+    prompt += input;
+    return prompt;
+}
+
+void TurnTable::expire(WallMillis now)
+{
+    std::erase_if(m_turns, [now](const auto &entry) { return entry.second.keptUntil < now; });
+}
+
+} // namespace basilhall::turns
--- /dev/null
+++ b/basilhall/turns/turn_table_test.cpp
@@ -0,0 +1,63 @@
+#include "basilhall/turns/turn_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace basilhall;
+using namespace basilhall::turns;
+
+namespace
+{
+
+const TeamName kTeam("bakers");
+
+KeptTurn turn(const std::string &id, const std::string &previous, WallMillis until)
+{
+    return {TurnId(id), kTeam, TurnId(previous), "in-" + id + ";", "out-" + id + "\n", until};
+}
+
+struct Fixture {
+    Fixture()
+    {
+        table.add(turn("a", "", 100));
+        table.add(turn("b", "a", 200));
+    }
+    TurnTable table;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(turn_table, Fixture)
+
+BOOST_AUTO_TEST_CASE(promptHoldsTheChainOldestFirst)
+{
+    const auto prompt = table.prompt(TurnId("b"), kTeam, "new");
+    BOOST_TEST_REQUIRE(prompt.has_value());
+    BOOST_TEST(prompt.value() == "in-a;out-a\nin-b;out-b\nnew");
+    BOOST_TEST(table.prompt(TurnId(), kTeam, "first").value() == "first");
+}
+
+BOOST_AUTO_TEST_CASE(unknownTurnsAndTurnsOfOthersAreNotFound)
+{
+    BOOST_TEST((table.prompt(TurnId("x"), kTeam, "").error().kind() == ErrorKind::NotFound));
+    const auto foreign = table.prompt(TurnId("b"), TeamName("other"), "");
+    BOOST_TEST((foreign.error().kind() == ErrorKind::NotFound));
+    BOOST_TEST(foreign.error().notRun());
+}
+
+BOOST_AUTO_TEST_CASE(aChainIsKeptAsLongAsItsLastTurn)
+{
+    table.expire(150);
+    BOOST_TEST(table.size() == 2U);
+    table.expire(201);
+    BOOST_TEST(table.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(severalTurnsMayNameOneTurn)
+{
+    table.add(turn("c", "a", 300));
+    BOOST_TEST(table.prompt(TurnId("c"), kTeam, "n").value() == "in-a;out-a\nin-c;out-c\nn");
+    table.expire(250);
+    BOOST_TEST(table.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
