Let one gateway admit all turns of a program; keep a team's burst for programs under way

Cause: three gateways admitted the last turns of a program at one moment, each by its own view (program with budget 1725 got 2484 tokens). A team at its rate refused calls of running programs. Unknown turns cost a reading of all journals (190 ms); each kept turn was a write of its own. Ruled out: sending each reservation to all peers at once (100 messages/s a host, still a race). Change: the first gateway is a program's home, others ask it; first turns leave 0.4 of the burst; a turn is sure not to exist once every peer was heard; records share writes of 40 ms.

--- a/basilhall/gateway/fleet_state.cpp
+++ b/basilhall/gateway/fleet_state.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+// Part of a team's burst that is left to programs under way: one makes some 10 more requests a
+// second, and a program cut in its middle has wasted what it ran.
+constexpr double kReserveForPrograms = 0.4;
 // Time to come back where the limit is 0.
 constexpr Duration kClosedTeamRetry = std::chrono::seconds(5);
 
@@ -103,16 +106,17 @@
     return m_directory.find(name) != nullptr;
 }
 
-Result<void> FleetState::admit(const TeamName &team, Instant now)
+Result<void> FleetState::admit(const TeamName &team, bool beginsProgram, Instant now)
 {
     const auto found = m_rates.find(team);
     if (found == m_rates.end()) {
         return success();
     }
-    if (!found->second.admit(now)) {
+    const double reserve = beginsProgram ? kReserveForPrograms : 0.0;
+    if (!found->second.admit(now, reserve)) {
         return Error(ErrorKind::RateLimited, "team \"" + team.value() + "\" is at its rate")
             .withNotRun()
-            .withRetryAfter(found->second.wait(now).value_or(kClosedTeamRetry));
+            .withRetryAfter(found->second.wait(now, reserve).value_or(kClosedTeamRetry));
     }
     ++m_admitted[team];
     return success();
--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -47,8 +47,9 @@
     std::size_t endpointCount() const { return m_directory.endpoints().size(); }
     bool hasEndpoint(const EndpointName &name) const;
 
-    // Takes one request of the team's limit; RateLimited with the time to come back otherwise.
-    Result<void> admit(const TeamName &team, Instant now);
+    // Takes one request of the team's limit; RateLimited with the time to come back otherwise. A
+    // request that begins a program is refused earlier, so that programs under way can end.
+    Result<void> admit(const TeamName &team, bool beginsProgram, Instant now);
     // A request that was admitted has not run.
     void giveBack(const TeamName &team, Instant now);
     void onPeerAdmitted(const TeamName &team, std::uint64_t requests, Instant now);
--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -28,11 +28,16 @@
 class Forwarder
 {
 public:
-    Forwarder(http::Client &client, FleetState &state, TurnKeeper &keeper, CallLog &log,
-              std::mt19937_64 &random)
+    // Asks the home of a program, see PeerMesh::askHome.
+    using AskHome =
+        std::function<boost::asio::awaitable<Result<turns::Admission>>(turns::TurnBudget)>;
+
+    Forwarder(http::Client &client, FleetState &state, TurnKeeper &keeper, AskHome askHome,
+              CallLog &log, std::mt19937_64 &random)
         : m_client(client)
         , m_state(state)
         , m_keeper(keeper)
+        , m_askHome(std::move(askHome))
         , m_log(log)
         , m_random(random)
     {
@@ -74,11 +79,20 @@
         BOOST_OUTCOME_TRY(context.call, Dialect::decodeCall(context.exchange->request()));
         BOOST_OUTCOME_TRY(resolveRoute(context));
         if (context.team != nullptr) {
-            BOOST_OUTCOME_TRY(m_state.admit(context.team->name, context.arrivedAt));
+            BOOST_OUTCOME_TRY(m_state.admit(context.team->name, beginsProgram(context),
+                                            context.arrivedAt));
         }
         return success();
     }
 
+    // True for the first turn of a program that no gateway has heard of.
+    bool beginsProgram(const CallContext &context) const
+    {
+        return context.route->kind == fleet::CallKind::Stream
+            && context.call.previousTurn.isEmpty()
+            && !m_state.budgets().knows(context.call.program);
+    }
+
     void watchCaller(const std::shared_ptr<CallContext> &context)
     {
         context->exchange->onClientGone([weak = std::weak_ptr<CallContext>(context)] {
@@ -328,10 +342,25 @@
         if (!call.tokenBudget || call.program.isEmpty()) {
             co_return success();
         }
-        while (true) {
-            const Instant now = MonotonicClock().now();
-            const turns::Admission admission = m_state.budgets().admit(
-                call.program, teamOf(*context), *call.tokenBudget, call.mostOutputTokens, now);
+        turns::TurnBudget turn;
+        turn.program = call.program;
+        turn.team = teamOf(*context);
+        turn.budget = *call.tokenBudget;
+        turn.most = call.mostOutputTokens;
+        for (std::uint32_t round = 0; round < kAdmissionRounds; ++round) {
+            turns::Admission admission =
+                m_state.budgets().admit(turn, MonotonicClock().now());
+            if (admission == turns::Admission::Elsewhere
+                || admission == turns::Admission::Orphaned) {
+                const auto asked = co_await m_askHome(turn);
+                if (!asked) {
+                    break;
+                }
+                admission = asked.value();
+                if (admission == turns::Admission::Admitted) {
+                    m_state.budgets().onGranted(turn, MonotonicClock().now());
+                }
+            }
             if (admission == turns::Admission::Admitted) {
                 context->hasReservation = true;
                 co_return success();
@@ -341,14 +370,17 @@
                                 "program \"" + call.program.value() + "\" has spent its budget")
                     .withNotRun();
             }
-            const Result<void> covered = co_await m_keeper.cover(
-                call.program, call.mostOutputTokens * kTurnsAhead, kCoverTimeout);
-            if (!covered) {
-                co_return Error(ErrorKind::StoreUnavailable, covered.error().message())
-                    .withNotRun()
-                    .withRetryAfter(kStoreRetry);
+            if (admission == turns::Admission::NeedsRecord) {
+                const Result<void> covered = co_await m_keeper.cover(
+                    call.program, call.mostOutputTokens * kTurnsAhead, kCoverTimeout);
+                if (!covered) {
+                    break;
+                }
             }
         }
+        co_return Error(ErrorKind::StoreUnavailable, "the program's budget cannot be checked now")
+            .withNotRun()
+            .withRetryAfter(kStoreRetry);
     }
 
     void settleBudget(const CallContext &context)
@@ -506,6 +538,7 @@
     http::Client &m_client;
     FleetState &m_state;
     TurnKeeper &m_keeper;
+    AskHome m_askHome;
     CallLog &m_log;
     std::mt19937_64 &m_random;
 };
--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -70,6 +70,7 @@
         keeper.setRelay([this](std::vector<journal::Record> records) {
             return mesh.relay(std::move(records));
         });
+        keeper.setAwaitPeers([this](Duration timeout) { return mesh.awaitAll(timeout); });
         keeper.setAnnounce([this](const journal::TurnKept &turn) { mesh.announce(turn); });
     }
 
@@ -222,6 +223,11 @@
     return d->callLog;
 }
 
+PeerMesh &Gateway::mesh()
+{
+    return d->mesh;
+}
+
 FleetEvents Gateway::events()
 {
     FleetEvents events;
--- a/basilhall/gateway/gateway.h
+++ b/basilhall/gateway/gateway.h
@@ -46,6 +46,7 @@
     FleetState &state();
     TurnKeeper &keeper();
     CallLog &callLog();
+    PeerMesh &mesh();
     // What to call when the object API tells of changes.
     FleetEvents events();
 
--- a/basilhall/gateway/internal/route_choice.h
+++ b/basilhall/gateway/internal/route_choice.h
@@ -26,6 +26,8 @@
 inline constexpr std::uint32_t kMaxSends = 4;
 // Time for a budget record to become durable before the turn is refused.
 inline constexpr Duration kCoverTimeout = std::chrono::milliseconds(700);
+// Tries to get a turn admitted: a record, a change of the home, and the answer.
+inline constexpr std::uint32_t kAdmissionRounds = 5;
 // Turns that one budget record covers ahead: sub-agents run two or three at once.
 inline constexpr std::uint64_t kTurnsAhead = 1;
 // A stream that breaks because its endpoint ended may go on once more than the route says.
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -28,11 +28,15 @@
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 const std::string kUpdatesMethod = "/updates";
 const std::string kKeepMethod = "/keep";
+const std::string kAdmitMethod = "/admit";
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 constexpr Duration kReconnectPause = std::chrono::milliseconds(250);
 // A peer that is silent for six beats counts as not heard, so that limits are split in time.
 constexpr Duration kHeardWithin = std::chrono::milliseconds(600);
+constexpr Duration kHeardCheck = std::chrono::milliseconds(20);
 // Time for a peer to make records durable; its own object API calls take a few milliseconds.
+// Time for the home of a program to answer; the way there and back takes a few milliseconds.
+constexpr Duration kAskTimeout = std::chrono::milliseconds(400);
 constexpr Duration kRelayTimeout = std::chrono::milliseconds(800);
 // Messages that wait for a slow subscriber; beyond that its stream is reset and begins anew.
 constexpr std::size_t kMaxQueued = 2000;
@@ -99,6 +103,8 @@
             co_await serveUpdates(self, stream);
         } else if (stream->method() == kKeepMethod) {
             co_await serveKeep(self, stream);
+        } else if (stream->method() == kAdmitMethod) {
+            co_await serveAdmit(self, stream);
         }
     }
 
@@ -148,6 +154,106 @@
         }
     }
 
+    static wire::AdmitVerdict verdictOf(turns::Admission admission)
+    {
+        switch (admission) {
+        case turns::Admission::Admitted:
+            return wire::ADMIT_VERDICT_ADMITTED;
+        case turns::Admission::Exhausted:
+            return wire::ADMIT_VERDICT_EXHAUSTED;
+        default:
+            return wire::ADMIT_VERDICT_ELSEWHERE;
+        }
+    }
+
+    static asio::awaitable<void> serveAdmit(std::shared_ptr<Private> self,
+                                            std::shared_ptr<transport::ServerStream> stream)
+    {
+        wire::AdmitRequest request;
+        if (!request.ParseFromString(stream->request())) {
+            self->log.warning("Dropped a malformed request of a peer.");
+            co_return;
+        }
+        turns::TurnBudget turn;
+        turn.program = ProgramId(request.program_id());
+        turn.team = TeamName(request.team());
+        turn.budget = request.budget_tokens();
+        turn.most = request.most_tokens();
+        wire::AdmitReply reply;
+        reply.set_verdict(verdictOf(self->state.budgets().grant(
+            Incarnation(request.asker_incarnation()), turn, now())));
+        const Result<void> sent = co_await stream->send(reply.SerializeAsString());
+        if (sent) {
+            (void)co_await stream->finish();
+        }
+    }
+
+    // The gateway that is to be the home of a program whose home is gone: every gateway that hears
+    // the same peers chooses the same.
+    std::shared_ptr<Peer> heir(const ProgramId &program) const
+    {
+        std::shared_ptr<Peer> best;
+        std::size_t bestRank = rank(program, self.host);
+        for (const auto &[host, peer] : peers) {
+            if (isHeard(*peer) && rank(program, host) > bestRank) {
+                best = peer;
+                bestRank = rank(program, host);
+            }
+        }
+        return best;
+    }
+
+    static std::size_t rank(const ProgramId &program, const HostName &host)
+    {
+        return std::hash<std::string>()(program.value() + "/" + host.value());
+    }
+
+    std::shared_ptr<Peer> peerOf(const Incarnation &incarnation) const
+    {
+        for (const auto &[host, peer] : peers) {
+            if (peer->member.incarnation == incarnation && peer->isConnected) {
+                return peer;
+            }
+        }
+        return nullptr;
+    }
+
+    asio::awaitable<Result<turns::Admission>> ask(std::shared_ptr<Peer> peer,
+                                                  turns::TurnBudget turn)
+    {
+        wire::AdmitRequest request;
+        request.set_asker_incarnation(self.incarnation.value());
+        request.set_program_id(turn.program.value());
+        request.set_team(turn.team.value());
+        request.set_budget_tokens(turn.budget);
+        request.set_most_tokens(turn.most);
+        auto stream = co_await client.open(peer->member.address, kAdmitMethod,
+                                           request.SerializeAsString(), kConnectTimeout);
+        if (!stream) {
+            co_return stream.error();
+        }
+        asio::steady_timer alarm(executor, kAskTimeout);
+        const auto open = std::shared_ptr<transport::ClientStream>(std::move(stream).value());
+        alarm.async_wait([open](boost::system::error_code error) {
+            if (!error) {
+                open->cancel();
+            }
+        });
+        const auto message = co_await open->next();
+        wire::AdmitReply reply;
+        if (!message || !message.value() || !reply.ParseFromString(*message.value())) {
+            co_return Error(ErrorKind::Unavailable, "the program's home does not answer");
+        }
+        switch (reply.verdict()) {
+        case wire::ADMIT_VERDICT_ADMITTED:
+            co_return turns::Admission::Admitted;
+        case wire::ADMIT_VERDICT_EXHAUSTED:
+            co_return turns::Admission::Exhausted;
+        default:
+            co_return turns::Admission::Elsewhere;
+        }
+    }
+
     wire::Update newUpdate() const
     {
         wire::Update update;
@@ -173,6 +279,8 @@
         wire::Spend &spend = *update.add_spends();
         *spend.mutable_record() = toRecord(self.incarnation, report);
         spend.set_in_flight_tokens(report.inFlight);
+        spend.set_grants(report.grants);
+        spend.set_is_home(report.isHome);
     }
 
     void broadcast(const wire::Update &update)
@@ -243,6 +351,8 @@
         for (const wire::Spend &spend : update.spends()) {
             turns::SpendReport report = fromRecord(spend.record());
             report.inFlight = spend.in_flight_tokens();
+            report.grants = spend.grants();
+            report.isHome = spend.is_home();
             state.budgets().onPeerReport(from, report, time);
         }
         for (const wire::Admitted &admitted : update.admitted()) {
@@ -278,6 +388,7 @@
             }
             if (peer->isConnected) {
                 peer->isConnected = false;
+                self->keeper.noteGap();
                 self->log.warning("Lost a peer.", Field("peer", peer->member.host),
                                   Field("incarnation", peer->member.incarnation));
                 self->state.placement().onPeerGone(peer->member.incarnation);
@@ -305,6 +416,7 @@
             }
             if (!peer->isConnected) {
                 peer->isConnected = true;
+                self->keeper.noteGap();
                 self->log.info("Hears a peer.", Field("peer", peer->member.host),
                                Field("incarnation", peer->member.incarnation));
             }
@@ -424,6 +536,24 @@
     d->flush();
 }
 
+asio::awaitable<bool> PeerMesh::awaitAll(Duration timeout)
+{
+    const auto self = d;
+    const Instant asked = Private::now();
+    asio::steady_timer pause(self->executor);
+    while (true) {
+        bool isDone = true;
+        for (const auto &[host, peer] : self->peers) {
+            isDone = isDone && peer->isConnected && peer->heardAt > asked;
+        }
+        if (isDone || Private::now() - asked >= timeout) {
+            co_return isDone;
+        }
+        pause.expires_after(kHeardCheck);
+        (void)co_await pause.async_wait(kTuple);
+    }
+}
+
 asio::awaitable<bool> PeerMesh::relay(std::vector<journal::Record> records)
 {
     const auto self = d;
@@ -446,6 +576,21 @@
     co_return false;
 }
 
+asio::awaitable<Result<turns::Admission>> PeerMesh::askHome(turns::TurnBudget turn)
+{
+    const auto self = d;
+    std::shared_ptr<Peer> home = self->peerOf(self->state.budgets().home(turn.program));
+    if (!home) {
+        home = self->heir(turn.program);
+    }
+    if (!home) {
+        self->log.info("Becomes the home of a program.", Field("program", turn.program));
+        self->state.budgets().claim(turn.program, Private::now());
+        co_return turns::Admission::Elsewhere;
+    }
+    co_return co_await self->ask(home, std::move(turn));
+}
+
 void PeerMesh::close()
 {
     d->isClosed = true;
--- a/basilhall/gateway/peer_mesh.h
+++ b/basilhall/gateway/peer_mesh.h
@@ -59,6 +59,12 @@
     // Sends what has changed in the state; called by the owner at least every kBeat.
     void flush();
 
+    // Asks the home of the turn's program to admit it; a program whose home is gone gets a new one.
+    // Elsewhere if the home has changed: ask the ledger again. Unavailable if it does not answer.
+    boost::asio::awaitable<Result<turns::Admission>> askHome(turns::TurnBudget turn);
+
+    // True once every member has been heard after the call: what it said before has arrived.
+    boost::asio::awaitable<bool> awaitAll(Duration timeout);
     // Asks the heard members one after the other to keep the records.
     boost::asio::awaitable<bool> relay(std::vector<journal::Record> records);
 
--- a/basilhall/gateway/spend_codec.cpp
+++ b/basilhall/gateway/spend_codec.cpp
@@ -17,7 +17,7 @@
 turns::SpendReport fromRecord(const journal::ProgramSpend &record)
 {
     return {ProgramId(record.program_id()), TeamName(record.team()), record.spent_tokens(),
-            record.covered_tokens(), 0};
+            record.covered_tokens()};
 }
 
 } // namespace basilhall::gateway
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -7,13 +7,11 @@
 #include "basilhall/metrics/registry.h"
 #include "basilhall/transport/signal.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <optional>
-#include <set>
 
 namespace basilhall::gateway
 {
@@ -25,7 +23,6 @@
 namespace
 {
 
-constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 // Time that a record may wait for the object API before a peer is asked to write it; several times
 // the usual answer of 4 ms.
 constexpr Duration kRelayAfter = std::chrono::milliseconds(150);
@@ -33,12 +30,12 @@
 constexpr Duration kNotKeepingAfter = std::chrono::milliseconds(600);
 // Pause after a peer could not help, before the next record tries one.
 constexpr Duration kRelayRetry = std::chrono::seconds(1);
-// Time for the news of a turn to arrive from the peer that kept it.
-constexpr Duration kNewsWait = std::chrono::milliseconds(25);
+// Time for every peer to be heard again; each sends an update every 100 ms.
+constexpr Duration kNewsWait = std::chrono::milliseconds(250);
 // Time to come back after a refusal for lack of the object API.
 constexpr Duration kStoreRetry = std::chrono::milliseconds(500);
 // Least time between two creates of the journal, so that records of one moment share a call.
-constexpr Duration kFlushInterval = std::chrono::milliseconds(10);
+constexpr Duration kFlushInterval = std::chrono::milliseconds(40);
 // Programs without a turn for so long are forgotten; longer than turns are kept.
 constexpr Duration kProgramMemory = std::chrono::minutes(5);
 
@@ -238,9 +235,8 @@
             if (record.has_turn_kept()) {
                 learn(record.turn_kept());
             } else if (record.has_program_spend()) {
-                const Incarnation spender(record.program_spend().incarnation());
-                spenders.insert(spender);
-                state.budgets().onPeerReport(spender, fromRecord(record.program_spend()), now());
+                state.budgets().onJournalReport(Incarnation(record.program_spend().incarnation()),
+                                                fromRecord(record.program_spend()), now());
             }
         }
     }
@@ -266,9 +262,13 @@
         }
         self->isRefreshing = true;
         ++self->refreshesBegun;
+        const std::uint64_t gaps = self->gaps;
         store::List all{journal::kJournalKind, ""};
         self->lastRefresh = co_await read(self, std::move(all));
         self->isRefreshing = false;
+        if (self->lastRefresh) {
+            self->gapsClosed = gaps;
+        }
         self->refreshed.notify();
         co_return self->lastRefresh;
     }
@@ -286,9 +286,11 @@
     Relay relay;
     std::optional<Instant> relayFailedAt;
     Announce announce;
-    // Incarnations with spending in a journal.
-    std::set<Incarnation> spenders;
     std::uint64_t refreshesBegun = 0;
+    // Times at which news of peers may have been missed, and how many of them a reading covers.
+    std::uint64_t gaps = 0;
+    std::uint64_t gapsClosed = 0;
+    AwaitPeers awaitPeers;
     bool isRefreshing = false;
     transport::Signal refreshed{executor};
     Result<void> lastRefresh = success();
@@ -319,13 +321,7 @@
 asio::awaitable<Result<void>> TurnKeeper::load()
 {
     const auto self = d;
-    const Result<void> done = co_await Private::refresh(self);
-    if (done) {
-        for (const Incarnation &incarnation : self->spenders) {
-            self->state.budgets().onPeerGone(incarnation);
-        }
-    }
-    co_return done;
+    co_return co_await Private::refresh(self);
 }
 
 asio::awaitable<Result<void>> TurnKeeper::keep(turns::KeptTurn turn, ProgramId program,
@@ -413,10 +409,13 @@
     if (made) {
         co_return made;
     }
-    asio::steady_timer pause(self->executor, kNewsWait);
-    (void)co_await pause.async_wait(kTuple);
+    if (self->state.turns().contains(previous)
+        && !self->state.turns().belongsTo(previous, team)) {
+        co_return made;
+    }
+    const bool heardAll = self->awaitPeers && co_await self->awaitPeers(kNewsWait);
     made = self->state.turns().prompt(previous, team, input);
-    if (made) {
+    if (made || (heardAll && self->gaps == self->gapsClosed)) {
         co_return made;
     }
     const Result<void> read = co_await Private::refresh(self);
@@ -429,6 +428,16 @@
         .withRetryAfter(kStoreRetry);
 }
 
+void TurnKeeper::setAwaitPeers(AwaitPeers awaitPeers)
+{
+    d->awaitPeers = std::move(awaitPeers);
+}
+
+void TurnKeeper::noteGap()
+{
+    ++d->gaps;
+}
+
 bool TurnKeeper::isKeeping() const
 {
     const Instant now = Private::now();
--- a/basilhall/limit/shared_rate.cpp
+++ b/basilhall/limit/shared_rate.cpp
@@ -41,10 +41,10 @@
     }
 }
 
-bool SharedRate::admit(Instant now)
+bool SharedRate::admit(Instant now, double reserve)
 {
     refill(now);
-    if (m_level < 1.0) {
+    if (m_level < 1.0 + reserve * capacity()) {
         return false;
     }
     m_level -= 1.0;
@@ -77,17 +77,18 @@
     m_level = std::min(m_level, capacity());
 }
 
-std::optional<Duration> SharedRate::wait(Instant now)
+std::optional<Duration> SharedRate::wait(Instant now, double reserve)
 {
     refill(now);
-    if (m_level >= 1.0) {
+    const double needed = 1.0 + reserve * capacity();
+    if (m_level >= needed) {
         return Duration::zero();
     }
     if (perSecond() <= 0) {
         return std::nullopt;
     }
     return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>((1.0 - m_level) / perSecond()));
+        std::chrono::duration<double>((needed - m_level) / perSecond()));
 }
 
 } // namespace basilhall::limit
--- a/basilhall/limit/shared_rate.h
+++ b/basilhall/limit/shared_rate.h
@@ -23,8 +23,9 @@
     // Starts with nothing and refills: what was admitted before is not known.
     SharedRate(const Rate &rate, Instant now);
 
-    // Takes one request; false if the limit is reached.
-    bool admit(Instant now);
+    // Takes one request; false if the limit is reached, or if less than `reserve` of the burst (0 to
+    // 1) would be left.
+    bool admit(Instant now, double reserve = 0);
     // A request that was admitted has not run.
     void giveBack(Instant now);
     // Others have admitted `requests` more.
@@ -33,8 +34,8 @@
     void setShare(std::uint32_t part, std::uint32_t whole, Instant now);
     // Keeps the level, at most the new burst.
     void setRate(const Rate &rate, Instant now);
-    // Time until one request can be admitted; nothing if the rate is 0.
-    std::optional<Duration> wait(Instant now);
+    // Time until one request can be admitted with that reserve; nothing if the rate is 0.
+    std::optional<Duration> wait(Instant now, double reserve = 0);
     const Rate &rate() const { return m_rate; }
 
 private:
--- a/basilhall/limit/shared_rate_test.cpp
+++ b/basilhall/limit/shared_rate_test.cpp
@@ -44,6 +44,19 @@
     BOOST_TEST(admitAll(rate, kStart + 62s) == 10);
 }
 
+BOOST_AUTO_TEST_CASE(aReserveIsLeftForOthers)
+{
+    SharedRate rate(kRate, kStart);
+    const Instant full = kStart + 60s;
+    int first = 0;
+    while (rate.admit(full, 0.5)) {
+        ++first;
+    }
+    BOOST_TEST(first == 10);
+    BOOST_TEST((rate.wait(full, 0.5) == Duration(100ms)));
+    BOOST_TEST(admitAll(rate, full) == 10);
+}
+
 BOOST_AUTO_TEST_CASE(aShareBoundsRateAndBurst)
 {
     SharedRate rate(kRate, kStart);
--- a/basilhall/turns/budget_ledger.cpp
+++ b/basilhall/turns/budget_ledger.cpp
@@ -8,7 +8,9 @@
 
 std::uint64_t BudgetLedger::Share::most() const
 {
-    return isGone ? std::max(covered, spent + inFlight) : spent + inFlight;
+    const std::uint64_t unreported = granted > grants ? (granted - grants) * mostOfGrant : 0;
+    const std::uint64_t reported = spent + inFlight + unreported;
+    return isGone ? std::max(covered, reported) : reported;
 }
 
 BudgetLedger::BudgetLedger(Incarnation self)
@@ -23,29 +25,101 @@
     return found;
 }
 
-Admission BudgetLedger::admit(const ProgramId &program, const TeamName &team, std::uint64_t budget,
-                              std::uint64_t most, Instant now)
+void BudgetLedger::noteNews(const ProgramId &program, Account &account)
 {
-    Account &entry = account(program, now);
-    entry.team = team;
-    std::uint64_t total = 0;
-    for (const auto &[incarnation, share] : entry.shares) {
-        total += share.most();
+    if (!std::exchange(account.hasNews, true)) {
+        m_news.push_back(program);
     }
-    if (total + most > budget) {
-        return Admission::Exhausted;
+}
+
+std::uint64_t BudgetLedger::total(const Account &account)
+{
+    std::uint64_t sum = 0;
+    for (const auto &[incarnation, share] : account.shares) {
+        sum += share.most();
+    }
+    return sum;
+}
+
+bool BudgetLedger::isHomeGone(const Account &account) const
+{
+    if (account.home.isEmpty()) {
+        // Known from a journal alone.
+        return !account.shares.empty();
     }
+    const auto share = account.shares.find(account.home);
+    return account.home != m_self && (share == account.shares.end() || share->second.isGone);
+}
+
+Admission BudgetLedger::admit(const TurnBudget &turn, Instant now)
+{
+    Account &entry = account(turn.program, now);
+    entry.team = turn.team;
     Share &own = entry.shares[m_self];
+    const bool isOnly = entry.shares.size() == 1;
     if (own.spent + own.inFlight > own.covered) {
         return Admission::NeedsRecord;
     }
-    own.inFlight += most;
-    if (!std::exchange(entry.hasNews, true)) {
-        m_news.push_back(program);
+    if (entry.home.isEmpty() && isOnly) {
+        entry.home = m_self;
     }
+    if (isHomeGone(entry)) {
+        return Admission::Orphaned;
+    }
+    if (entry.home != m_self) {
+        return Admission::Elsewhere;
+    }
+    if (total(entry) + turn.most > turn.budget) {
+        return Admission::Exhausted;
+    }
+    own.inFlight += turn.most;
+    noteNews(turn.program, entry);
+    return Admission::Admitted;
+}
+
+Admission BudgetLedger::grant(const Incarnation &asker, const TurnBudget &turn, Instant now)
+{
+    Account &entry = account(turn.program, now);
+    entry.team = turn.team;
+    if (entry.home.isEmpty() || isHomeGone(entry)) {
+        claim(turn.program, now);
+    }
+    if (entry.home != m_self) {
+        return Admission::Elsewhere;
+    }
+    if (total(entry) + turn.most > turn.budget) {
+        return Admission::Exhausted;
+    }
+    Share &share = entry.shares[asker];
+    share.isGone = false;
+    ++share.granted;
+    share.mostOfGrant = std::max(share.mostOfGrant, turn.most);
     return Admission::Admitted;
 }
 
+void BudgetLedger::onGranted(const TurnBudget &turn, Instant now)
+{
+    Account &entry = account(turn.program, now);
+    Share &own = entry.shares[m_self];
+    own.inFlight += turn.most;
+    ++own.grants;
+    noteNews(turn.program, entry);
+}
+
+void BudgetLedger::claim(const ProgramId &program, Instant now)
+{
+    Account &entry = account(program, now);
+    entry.home = m_self;
+    (void)entry.shares[m_self];
+    noteNews(program, entry);
+}
+
+Incarnation BudgetLedger::home(const ProgramId &program) const
+{
+    const auto found = m_programs.find(program);
+    return found == m_programs.end() ? Incarnation() : found->second.home;
+}
+
 void BudgetLedger::settle(const ProgramId &program, std::uint64_t most, std::uint64_t spent,
                           Instant now)
 {
@@ -53,25 +127,29 @@
     Share &own = entry.shares[m_self];
     own.inFlight -= std::min(own.inFlight, most);
     own.spent += spent;
-    if (!std::exchange(entry.hasNews, true)) {
-        m_news.push_back(program);
-    }
+    noteNews(program, entry);
 }
 
 SpendReport BudgetLedger::report(const ProgramId &program, const Account &account) const
 {
     const auto own = account.shares.find(m_self);
     if (own == account.shares.end()) {
-        return {program, account.team, 0, 0, 0};
+        return {program, account.team};
     }
-    return {program, account.team, own->second.spent, own->second.covered, own->second.inFlight};
+    return {program,
+            account.team,
+            own->second.spent,
+            own->second.covered,
+            own->second.inFlight,
+            own->second.grants,
+            account.home == m_self};
 }
 
 SpendReport BudgetLedger::record(const ProgramId &program, std::uint64_t ahead) const
 {
     const auto found = m_programs.find(program);
     if (found == m_programs.end()) {
-        return {program, {}, 0, 0, 0};
+        return {program, {}};
     }
     SpendReport made = report(program, found->second);
     made.covered = std::max(made.covered, made.spent + made.inFlight + ahead);
@@ -123,6 +201,22 @@
     return programs;
 }
 
+void BudgetLedger::onJournalReport(const Incarnation &writer, const SpendReport &report,
+                                   Instant now)
+{
+    if (writer == m_self) {
+        return;
+    }
+    Account &entry = account(report.program, now);
+    if (entry.team.isEmpty()) {
+        entry.team = report.team;
+    }
+    const auto [at, isNew] = entry.shares.try_emplace(writer);
+    at->second.isGone = isNew || at->second.isGone;
+    at->second.spent = std::max(at->second.spent, report.spent);
+    at->second.covered = std::max(at->second.covered, report.covered);
+}
+
 void BudgetLedger::onPeerReport(const Incarnation &peer, const SpendReport &report, Instant now)
 {
     if (peer == m_self) {
@@ -135,10 +229,14 @@
     const auto [at, isNew] = entry.shares.try_emplace(peer);
     Share &share = at->second;
     // Reports of one incarnation may arrive by two ways and out of order.
-    if (report.spent < share.spent) {
+    if (report.spent < share.spent || report.grants < share.grants) {
         return;
     }
+    if (report.isHome && entry.home != m_self) {
+        entry.home = peer;
+    }
     share.isGone = false;
+    share.grants = report.grants;
     share.spent = report.spent;
     share.inFlight = report.inFlight;
     share.covered = std::max(share.covered, report.covered);
@@ -164,13 +262,7 @@
 std::uint64_t BudgetLedger::spent(const ProgramId &program) const
 {
     const auto found = m_programs.find(program);
-    std::uint64_t total = 0;
-    if (found != m_programs.end()) {
-        for (const auto &[incarnation, share] : found->second.shares) {
-            total += share.most();
-        }
-    }
-    return total;
+    return found == m_programs.end() ? 0 : total(found->second);
 }
 
 } // namespace basilhall::turns
--- a/basilhall/turns/budget_ledger.h
+++ b/basilhall/turns/budget_ledger.h
@@ -1,15 +1,18 @@
 // What the programs have spent of their token budgets, over all gateways.
 //
-// Each incarnation counts what it hands out itself and hears the counts of the others. What is in
-// flight counts at its most. Before a turn starts, all that this incarnation handed out or has in
-// flight for the program must be covered by a durable record, so that after the loss of every
-// process at most one turn of each gateway is unknown.
+// One incarnation, the home of a program, admits all its turns; the others ask it. Each counts what
+// it hands out itself and hears the counts of the others. What is in flight counts at its most.
+// Before a turn starts, all that this incarnation handed out or has in flight for the program must
+// be covered by a durable record, so that after the loss of every process at most one turn of each
+// gateway is unknown.
 //
 //     BudgetLedger ledger(self);
-//     switch (ledger.admit(program, team, budget, most)) {
+//     switch (ledger.admit(request, now)) {
 //     case Admission::Admitted: ...     // ledger.settle(program, most, spent) later
 //     case Admission::NeedsRecord: ...  // write ledger.record(program), then ledger.onDurable()
 //     case Admission::Exhausted: ...
+//     case Admission::Elsewhere: ...    // ask ledger.home(program), then ledger.onGranted(request)
+//     case Admission::Orphaned: ...     // let one gateway claim() the program
 //     }
 #pragma once
 
@@ -32,6 +35,22 @@
     NeedsRecord,
     // One more turn might exceed the budget.
     Exhausted,
+    // Another incarnation is the home of the program.
+    Elsewhere,
+    // The home of the program is gone.
+    Orphaned,
+};
+
+// A turn that asks for its part of a budget. Immutable value.
+struct TurnBudget {
+    ProgramId program;
+    TeamName team;
+    // Of all turns of the program together.
+    std::uint64_t budget = 0;
+    // Most tokens of this turn.
+    std::uint64_t most = 0;
+
+    auto operator<=>(const TurnBudget &) const = default;
 };
 
 // What one incarnation says of one program. Immutable value.
@@ -41,6 +60,10 @@
     std::uint64_t spent = 0;
     std::uint64_t covered = 0;
     std::uint64_t inFlight = 0;
+    // Turns that the home has admitted for it and that the amounts above hold.
+    std::uint64_t grants = 0;
+    // True if it is the home of the program.
+    bool isHome = false;
 
     auto operator<=>(const SpendReport &) const = default;
 };
@@ -51,9 +74,17 @@
 public:
     explicit BudgetLedger(Incarnation self);
 
-    // Asks to run a turn of at most `most` tokens; on Admitted it is in flight.
-    Admission admit(const ProgramId &program, const TeamName &team, std::uint64_t budget,
-                    std::uint64_t most, Instant now);
+    // Asks to run a turn here; on Admitted it is in flight. A program that nobody knows is claimed.
+    Admission admit(const TurnBudget &turn, Instant now);
+    // As home, admits a turn that `asker` is to run. Elsewhere if another live incarnation is home.
+    Admission grant(const Incarnation &asker, const TurnBudget &turn, Instant now);
+    // The home has admitted a turn of this incarnation; it is in flight.
+    void onGranted(const TurnBudget &turn, Instant now);
+    // Makes this incarnation the home.
+    void claim(const ProgramId &program, Instant now);
+    // Empty if none is known.
+    Incarnation home(const ProgramId &program) const;
+    bool knows(const ProgramId &program) const { return m_programs.contains(program); }
     // A turn that was admitted with `most` has ended and handed out `spent`.
     void settle(const ProgramId &program, std::uint64_t most, std::uint64_t spent, Instant now);
 
@@ -69,7 +100,10 @@
     // Programs with spending that no record covers.
     std::vector<ProgramId> uncovered() const;
 
-    // Takes what another incarnation, or its journal, says.
+    // Takes what a journal says of another incarnation. One that has not been heard itself counts
+    // as gone.
+    void onJournalReport(const Incarnation &writer, const SpendReport &report, Instant now);
+    // Takes what another incarnation says.
     void onPeerReport(const Incarnation &peer, const SpendReport &report, Instant now);
     // The incarnation is gone: what it had covered or in flight counts as spent.
     void onPeerGone(const Incarnation &peer);
@@ -84,6 +118,10 @@
         std::uint64_t spent = 0;
         std::uint64_t covered = 0;
         std::uint64_t inFlight = 0;
+        // Turns that the home admitted for it, and of these the ones it has reported.
+        std::uint64_t granted = 0;
+        std::uint64_t grants = 0;
+        std::uint64_t mostOfGrant = 0;
         // The share comes from a journal and no live process vouches for it.
         bool isGone = false;
 
@@ -91,12 +129,16 @@
     };
     struct Account {
         TeamName team;
+        Incarnation home;
         std::map<Incarnation, Share> shares;
         Instant changed;
         bool hasNews = false;
     };
 
     Account &account(const ProgramId &program, Instant now);
+    void noteNews(const ProgramId &program, Account &account);
+    bool isHomeGone(const Account &account) const;
+    static std::uint64_t total(const Account &account);
     SpendReport report(const ProgramId &program, const Account &account) const;
 
     Incarnation m_self;
--- a/basilhall/turns/budget_ledger_test.cpp
+++ b/basilhall/turns/budget_ledger_test.cpp
@@ -19,7 +19,7 @@
 
     Admission admit(std::uint64_t most)
     {
-        return ledger.admit(kProgram, kTeam, 1000, most, kNow);
+        return ledger.admit({kProgram, kTeam, 1000, most}, kNow);
     }
     void cover(std::uint64_t ahead) { ledger.onDurable(ledger.record(kProgram, ahead)); }
 };
@@ -59,14 +59,73 @@
     BOOST_TEST((admit(100) == Admission::NeedsRecord));
 }
 
-BOOST_AUTO_TEST_CASE(turnsOfOtherGatewaysCount)
+BOOST_AUTO_TEST_CASE(theHomeAdmitsTheTurnsOfAllGateways)
 {
-    ledger.onPeerReport(kPeer, {kProgram, kTeam, 500, 500, 300}, kNow);
-    BOOST_TEST((admit(201) == Admission::Exhausted));
-    BOOST_TEST((admit(200) == Admission::Admitted));
-    // An older report that arrives late changes nothing.
-    ledger.onPeerReport(kPeer, {kProgram, kTeam, 100, 100, 0}, kNow);
-    BOOST_TEST(ledger.spent(kProgram) == 1000U);
+    BudgetLedger home{kPeer};
+    const TurnBudget turn{kProgram, kTeam, 1000, 400};
+    BOOST_TEST((home.admit(turn, kNow) == Admission::Admitted));
+    for (const SpendReport &report : home.takeChanges()) {
+        ledger.onPeerReport(kPeer, report, kNow);
+    }
+    BOOST_TEST((ledger.admit(turn, kNow) == Admission::Elsewhere));
+    BOOST_TEST(ledger.home(kProgram) == kPeer);
+    BOOST_TEST((home.grant(kSelf, turn, kNow) == Admission::Admitted));
+    // Counts before the asker reports it, and once after.
+    BOOST_TEST((home.grant(kSelf, turn, kNow) == Admission::Exhausted));
+    ledger.onGranted(turn, kNow);
+    for (const SpendReport &report : ledger.takeChanges()) {
+        home.onPeerReport(kSelf, report, kNow);
+    }
+    BOOST_TEST(home.spent(kProgram) == 800U);
+    ledger.settle(kProgram, 400, 100, kNow);
+    for (const SpendReport &report : ledger.takeChanges()) {
+        home.onPeerReport(kSelf, report, kNow);
+    }
+    BOOST_TEST(home.spent(kProgram) == 500U);
+    BOOST_TEST((home.grant(kSelf, turn, kNow) == Admission::Admitted));
+}
+
+// Turns of one program that start at one moment at three gateways, with a budget for two.
+BOOST_AUTO_TEST_CASE(turnsThatStartAtOnceEverywhereKeepTheBudget)
+{
+    BudgetLedger home{kPeer};
+    const Incarnation third("third");
+    const TurnBudget turn{kProgram, kTeam, 1150, 575};
+    int admitted = home.admit(turn, kNow) == Admission::Admitted ? 1 : 0;
+    for (const Incarnation &asker : {kSelf, third, kSelf, third}) {
+        admitted += home.grant(asker, turn, kNow) == Admission::Admitted ? 1 : 0;
+    }
+    BOOST_TEST(admitted == 2);
+}
+
+BOOST_AUTO_TEST_CASE(aProgramWhoseHomeIsGoneIsClaimed)
+{
+    ledger.onPeerReport(kPeer, {kProgram, kTeam, 300, 300, 0, 0, true}, kNow);
+    ledger.onPeerGone(kPeer);
+    BOOST_TEST((admit(100) == Admission::Orphaned));
+    ledger.claim(kProgram, kNow);
+    BOOST_TEST((admit(701) == Admission::Exhausted));
+    BOOST_TEST((admit(700) == Admission::Admitted));
+}
+
+BOOST_AUTO_TEST_CASE(aJournalNeitherLowersNorRevivesWhatIsKnown)
+{
+    ledger.onJournalReport(kPeer, {kProgram, kTeam, 200, 600}, kNow);
+    BOOST_TEST(ledger.spent(kProgram) == 600U);
+    ledger.onPeerReport(kPeer, {kProgram, kTeam, 300, 600, 100, 0, true}, kNow);
+    BOOST_TEST(ledger.spent(kProgram) == 400U);
+    ledger.onJournalReport(kPeer, {kProgram, kTeam, 200, 600}, kNow);
+    BOOST_TEST(ledger.spent(kProgram) == 400U);
+    ledger.onPeerGone(kPeer);
+    ledger.onJournalReport(kPeer, {kProgram, kTeam, 300, 700}, kNow);
+    BOOST_TEST(ledger.spent(kProgram) == 700U);
+}
+
+BOOST_AUTO_TEST_CASE(anOlderReportThatArrivesLateChangesNothing)
+{
+    ledger.onPeerReport(kPeer, {kProgram, kTeam, 500, 500, 300, 0, true}, kNow);
+    ledger.onPeerReport(kPeer, {kProgram, kTeam, 100, 100, 0, 0, true}, kNow);
+    BOOST_TEST(ledger.spent(kProgram) == 800U);
 }
 
 BOOST_AUTO_TEST_CASE(theCoverOfAGoneGatewayCountsAsSpent)
--- a/basilhall/turns/turn_table.cpp
+++ b/basilhall/turns/turn_table.cpp
@@ -20,6 +20,12 @@
     }
 }
 
+bool TurnTable::belongsTo(const TurnId &id, const TeamName &team) const
+{
+    const auto found = m_turns.find(id);
+    return found != m_turns.end() && found->second.team == team;
+}
+
 Result<std::string> TurnTable::prompt(const TurnId &previous, const TeamName &team,
                                       const std::string &input) const
 {
--- a/basilhall/turns/turn_table.h
+++ b/basilhall/turns/turn_table.h
@@ -22,6 +22,7 @@
     // Adding a known turn again changes nothing but how long it is kept. Its chain is kept as long.
     void add(KeptTurn turn);
     bool contains(const TurnId &id) const { return m_turns.contains(id); }
+    bool belongsTo(const TurnId &id, const TeamName &team) const;
     // Returns what the endpoint is to read: input and output of each turn of the chain that ends
     // with `previous`, oldest first, and then `input`. NotFound names the turn of the chain that is
     // unknown or another team's.
