--- a/basilhall/base/base64.cpp
+++ b/basilhall/base/base64.cpp
@@ -1,5 +1,7 @@
 #include "basilhall/base/base64.h"
 
+#include <array>
+#include <cstdint>
 #include <openssl/evp.h>
 
 namespace basilhall
@@ -11,6 +13,21 @@
 constexpr std::string_view kAlphabet =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
+constexpr std::uint8_t kNoDigit = 0xff;
+
+// Value of each digit, kNoDigit for other characters.
+constexpr std::array<std::uint8_t, 256> makeValues()
+{
+    std::array<std::uint8_t, 256> values{};
+    values.fill(kNoDigit);
+    for (std::size_t i = 0; i < kAlphabet.size(); ++i) {
+        values[static_cast<unsigned char>(kAlphabet[i])] = static_cast<std::uint8_t>(i);
+    }
+    return values;
+}
+
+constexpr std::array<std::uint8_t, 256> kValues = makeValues();
+
 const unsigned char *toUnsigned(const char *bytes)
 {
     return reinterpret_cast<const unsigned char *>(bytes);
@@ -41,17 +58,31 @@
     while (padding < 2 && padding < text.size() && text[text.size() - 1 - padding] == '=') {
         ++padding;
     }
-    const std::string_view digits = text.substr(0, text.size() - padding);
-    if (text.size() % 4 != 0 || digits.find_first_not_of(kAlphabet) != std::string_view::npos) {
+    if (text.size() % 4 != 0) {
         return std::nullopt;
     }
-    std::string bytes(3 * (text.size() / 4), '\0');
-    const int length = EVP_DecodeBlock(toUnsigned(bytes.data()), toUnsigned(text.data()),
-                                       static_cast<int>(text.size()));
-    if (length < 0) {
-        return std::nullopt;
+    std::string bytes;
+    bytes.reserve(3 * (text.size() / 4));
+    std::uint32_t group = 0;
+    std::uint32_t digits = 0;
+    for (const char c : text.substr(0, text.size() - padding)) {
+        const std::uint8_t value = kValues[static_cast<unsigned char>(c)];
+        if (value == kNoDigit) {
+            return std::nullopt;
+        }
+        group = (group << 6U) | value;
+        if (++digits % 4 == 0) {
+            bytes.push_back(static_cast<char>(group >> 16U));
+            bytes.push_back(static_cast<char>(group >> 8U));
+            bytes.push_back(static_cast<char>(group));
+        }
+    }
+    if (padding == 2) {
+        bytes.push_back(static_cast<char>(group >> 4U));
+    } else if (padding == 1) {
+        bytes.push_back(static_cast<char>(group >> 10U));
+        bytes.push_back(static_cast<char>(group >> 2U));
     }
-    bytes.resize(bytes.size() - padding);
     return bytes;
 }
 
--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -318,6 +318,12 @@
     boost::asio::awaitable<Result<void>> prepareTurn(std::shared_ptr<CallContext> context)
     {
         const std::string &input = context->exchange->request().body;
+        const bool needsState = context->route->keepsTurns || context->call.tokenBudget;
+        if (needsState && !m_keeper.isLoaded()) {
+            co_return Error(ErrorKind::Unavailable, "the gateway still reads what was kept")
+                .withNotRun()
+                .withRetryAfter(kLoadRetry);
+        }
         if (!context->route->keepsTurns) {
             context->body = input;
         } else {
--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -78,7 +78,7 @@
 
     bool isReady() const
     {
-        return !isDraining && isLoaded && state.policy() && hasEndpoints;
+        return !isDraining && keeper.isLoaded() && state.policy() && hasEndpoints;
     }
 
     asio::awaitable<void> answerReady(std::shared_ptr<http::Exchange> exchange)
@@ -112,10 +112,9 @@
     {
         asio::steady_timer pause(self->executor);
         bool isLogged = false;
-        while (!self->isLoaded) {
+        while (!self->keeper.isLoaded()) {
             const Result<void> done = co_await self->keeper.load();
             if (done) {
-                self->isLoaded = true;
                 self->log.info("Read the journals.", Field("turns", self->state.turns().size()),
                                Field("programs", self->state.budgets().size()));
                 co_return;
@@ -193,7 +192,6 @@
     http::Server readyServer;
     std::unique_ptr<http::Server> callers;
     bool hasEndpoints = false;
-    bool isLoaded = false;
     bool isDraining = false;
     bool isStopped = false;
 };
--- a/basilhall/gateway/internal/route_choice.h
+++ b/basilhall/gateway/internal/route_choice.h
@@ -18,6 +18,8 @@
 // An address that another endpoint has is left alone until the registration changes, or so long.
 inline constexpr Duration kStrangerPause = std::chrono::seconds(2);
 inline constexpr Duration kNoPolicyRetry = std::chrono::milliseconds(300);
+// Reading what was kept takes about a second after a restart.
+inline constexpr Duration kLoadRetry = std::chrono::milliseconds(500);
 inline constexpr Duration kNoEndpointRetry = std::chrono::milliseconds(300);
 inline constexpr Duration kRefusedRetry = std::chrono::milliseconds(200);
 inline constexpr Duration kStoreRetry = std::chrono::milliseconds(500);
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -295,6 +295,7 @@
     transport::Signal refreshed{executor};
     Result<void> lastRefresh = success();
     bool isCovering = false;
+    bool isLoaded = false;
 };
 
 TurnKeeper::TurnKeeper(const asio::any_io_executor &executor, StoreAccess access,
@@ -321,7 +322,9 @@
 asio::awaitable<Result<void>> TurnKeeper::load()
 {
     const auto self = d;
-    co_return co_await Private::refresh(self);
+    const Result<void> done = co_await Private::refresh(self);
+    self->isLoaded = self->isLoaded || done;
+    co_return done;
 }
 
 asio::awaitable<Result<void>> TurnKeeper::keep(turns::KeptTurn turn, ProgramId program,
@@ -438,6 +441,11 @@
     ++d->gaps;
 }
 
+bool TurnKeeper::isLoaded() const
+{
+    return d->isLoaded;
+}
+
 bool TurnKeeper::isKeeping() const
 {
     const Instant now = Private::now();
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -72,6 +72,8 @@
     boost::asio::awaitable<Result<std::string>> prompt(turns::TurnId previous, TeamName team,
                                                        std::string input);
 
+    // False until load() has succeeded: nothing can be said of turns and budgets.
+    bool isLoaded() const;
     // False while the object API does not take records and no peer has taken them either.
     bool isKeeping() const;
     // Takes a record that a peer announced or a journal holds.
