Learn what was kept from a peer after a restart, and ask peers for unknown turns

Ruled out: compressing or sharing prompts (bodies are random, zlib gains nothing). Change: a peer's first update holds the whole ledger; unknown turns are asked of all peers; the journals are read only if no peer knows, or after a peer is gone. After the loss of all it still reads for 3 to 4 s.

--- a/basilhall/base/base64.cpp
+++ b/basilhall/base/base64.cpp
@@ -61,28 +61,27 @@
     if (text.size() % 4 != 0) {
         return std::nullopt;
     }
-    std::string bytes;
-    bytes.reserve(3 * (text.size() / 4));
-    std::uint32_t group = 0;
-    std::uint32_t digits = 0;
-    for (const char c : text.substr(0, text.size() - padding)) {
-        const std::uint8_t value = kValues[static_cast<unsigned char>(c)];
-        if (value == kNoDigit) {
-            return std::nullopt;
+    std::string bytes(3 * (text.size() / 4), '\0');
+    char *out = bytes.data();
+    for (std::size_t i = 0; i < text.size(); i += 4) {
+        const bool isLast = i + 4 == text.size();
+        const std::size_t digits = isLast ? 4 - padding : 4;
+        std::uint32_t group = 0;
+        std::uint8_t worst = 0;
+        for (std::size_t j = 0; j < 4; ++j) {
+            const std::uint8_t value =
+                j < digits ? kValues[static_cast<unsigned char>(text[i + j])] : std::uint8_t(0);
+            worst |= value;
+            group = (group << 6U) | value;
         }
-        group = (group << 6U) | value;
-        if (++digits % 4 == 0) {
-            bytes.push_back(static_cast<char>(group >> 16U));
-            bytes.push_back(static_cast<char>(group >> 8U));
-            bytes.push_back(static_cast<char>(group));
+        if (worst == kNoDigit) {
+            return std::nullopt;
         }
+        *out++ = static_cast<char>(group >> 16U);
+        *out++ = static_cast<char>(group >> 8U);
+        *out++ = static_cast<char>(group);
     }
-    if (padding == 2) {
-        bytes.push_back(static_cast<char>(group >> 4U));
-    } else if (padding == 1) {
-        bytes.push_back(static_cast<char>(group >> 10U));
-        bytes.push_back(static_cast<char>(group >> 2U));
-    }
+    bytes.resize(bytes.size() - padding);
     return bytes;
 }
 
--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -22,6 +22,9 @@
 {
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
+// Time to hear a peer that knows what was kept; peers that run are heard within some milliseconds.
+constexpr Duration kPeerWait = std::chrono::milliseconds(400);
+constexpr Duration kPeerCheck = std::chrono::milliseconds(20);
 constexpr Duration kLoadRetry = std::chrono::milliseconds(200);
 // Spending is written within this time of a turn's end; think times of programs are longer.
 constexpr Duration kCoverInterval = std::chrono::milliseconds(200);
@@ -70,7 +73,7 @@
         keeper.setRelay([this](std::vector<journal::Record> records) {
             return mesh.relay(std::move(records));
         });
-        keeper.setAwaitPeers([this](Duration timeout) { return mesh.awaitAll(timeout); });
+        keeper.setSearchPeers([this](turns::TurnId id) { return mesh.findTurn(std::move(id)); });
         keeper.setAnnounce([this](const journal::TurnKept &turn) { mesh.announce(turn); });
     }
 
@@ -107,17 +110,20 @@
         }
     }
 
-    // Reads what was kept until it succeeds.
+    // Learns what was kept from a peer, or else from the object API, until it succeeds.
     static asio::awaitable<void> load(std::shared_ptr<Private> self)
     {
         asio::steady_timer pause(self->executor);
+        const Instant begun = now();
+        while (now() - begun < kPeerWait && !self->mesh.hasLoadedPeer() && !self->isAlone()) {
+            pause.expires_after(kPeerCheck);
+            (void)co_await pause.async_wait(kTuple);
+        }
         bool isLogged = false;
-        while (!self->keeper.isLoaded()) {
+        while (!self->mesh.hasLoadedPeer()) {
             const Result<void> done = co_await self->keeper.load();
             if (done) {
-                self->log.info("Read the journals.", Field("turns", self->state.turns().size()),
-                               Field("programs", self->state.budgets().size()));
-                co_return;
+                break;
             }
             if (!std::exchange(isLogged, true)) {
                 self->log.warning("Cannot read the journals yet.", Field("reason", done.error()));
@@ -125,8 +131,16 @@
             pause.expires_after(kLoadRetry);
             (void)co_await pause.async_wait(kTuple);
         }
+        self->keeper.setLoaded();
+        self->log.info("Knows what was kept.", Field("turns", self->state.turns().size()),
+                       Field("programs", self->state.budgets().size()),
+                       Field("from_peer", self->mesh.hasLoadedPeer()),
+                       Field("after", now() - begun));
     }
 
+    // No other gateway is registered.
+    bool isAlone() const { return hasMembers && mesh.memberCount() == 0; }
+
     static asio::awaitable<void> beat(std::shared_ptr<Private> self)
     {
         asio::steady_timer timer(self->executor);
@@ -192,6 +206,7 @@
     http::Server readyServer;
     std::unique_ptr<http::Server> callers;
     bool hasEndpoints = false;
+    bool hasMembers = false;
     bool isDraining = false;
     bool isStopped = false;
 };
@@ -249,6 +264,7 @@
     };
     events.membersListed = [d = d](const std::vector<Member> &members) {
         d->membership.setAll(members);
+        d->hasMembers = true;
     };
     events.memberChanged = [d = d](const Member &member) { d->membership.set(member); };
     events.memberRemoved = [d = d](const HostName &host) { d->membership.remove(host); };
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -2,7 +2,7 @@
 
 #include "basilhall/base/monotonic_clock.h"
 #include "basilhall/gateway/gateway.pb.h"
-#include "basilhall/gateway/spend_codec.h"
+#include "basilhall/gateway/record_codec.h"
 #include "basilhall/transport/signal.h"
 #include "basilhall/transport/stream_client.h"
 #include "basilhall/transport/stream_server.h"
@@ -29,11 +29,11 @@
 const std::string kUpdatesMethod = "/updates";
 const std::string kKeepMethod = "/keep";
 const std::string kAdmitMethod = "/admit";
+const std::string kTurnMethod = "/turn";
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 constexpr Duration kReconnectPause = std::chrono::milliseconds(250);
 // A peer that is silent for six beats counts as not heard, so that limits are split in time.
 constexpr Duration kHeardWithin = std::chrono::milliseconds(600);
-constexpr Duration kHeardCheck = std::chrono::milliseconds(20);
 // Time for a peer to make records durable; its own object API calls take a few milliseconds.
 // Time for the home of a program to answer; the way there and back takes a few milliseconds.
 constexpr Duration kAskTimeout = std::chrono::milliseconds(400);
@@ -61,6 +61,8 @@
     Instant heardAt = Instant::min();
     Instant listedAt = Instant::min();
     bool isConnected = false;
+    // Its first update held all that was kept before.
+    bool isLoaded = false;
     bool isDropped = false;
 };
 
@@ -105,6 +107,8 @@
             co_await serveKeep(self, stream);
         } else if (stream->method() == kAdmitMethod) {
             co_await serveAdmit(self, stream);
+        } else if (stream->method() == kTurnMethod) {
+            co_await serveTurn(self, stream);
         }
     }
 
@@ -188,6 +192,49 @@
         }
     }
 
+    static asio::awaitable<void> serveTurn(std::shared_ptr<Private> self,
+                                           std::shared_ptr<transport::ServerStream> stream)
+    {
+        wire::TurnRequest request;
+        if (!request.ParseFromString(stream->request())) {
+            self->log.warning("Dropped a malformed request of a peer.");
+            co_return;
+        }
+        wire::TurnReply reply;
+        reply.set_loaded(self->keeper.isLoaded());
+        for (const turns::KeptTurn &turn :
+             self->state.turns().chain(turns::TurnId(request.turn_id()))) {
+            *reply.add_turns() = toRecord(turn);
+        }
+        const Result<void> sent = co_await stream->send(reply.SerializeAsString());
+        if (sent) {
+            (void)co_await stream->finish();
+        }
+    }
+
+    // Sends one request and returns its one reply, if it comes in time.
+    asio::awaitable<std::optional<std::string>> askOnce(Address address, std::string method,
+                                                        std::string request)
+    {
+        auto stream =
+            co_await client.open(address, std::move(method), std::move(request), kConnectTimeout);
+        if (!stream) {
+            co_return std::nullopt;
+        }
+        asio::steady_timer alarm(executor, kAskTimeout);
+        const auto open = std::shared_ptr<transport::ClientStream>(std::move(stream).value());
+        alarm.async_wait([open](boost::system::error_code error) {
+            if (!error) {
+                open->cancel();
+            }
+        });
+        auto message = co_await open->next();
+        if (!message) {
+            co_return std::nullopt;
+        }
+        co_return std::move(message).value();
+    }
+
     // The gateway that is to be the home of a program whose home is gone: every gateway that hears
     // the same peers chooses the same.
     std::shared_ptr<Peer> heir(const ProgramId &program) const
@@ -227,21 +274,10 @@
         request.set_team(turn.team.value());
         request.set_budget_tokens(turn.budget);
         request.set_most_tokens(turn.most);
-        auto stream = co_await client.open(peer->member.address, kAdmitMethod,
-                                           request.SerializeAsString(), kConnectTimeout);
-        if (!stream) {
-            co_return stream.error();
-        }
-        asio::steady_timer alarm(executor, kAskTimeout);
-        const auto open = std::shared_ptr<transport::ClientStream>(std::move(stream).value());
-        alarm.async_wait([open](boost::system::error_code error) {
-            if (!error) {
-                open->cancel();
-            }
-        });
-        const auto message = co_await open->next();
+        const auto message = co_await askOnce(peer->member.address, kAdmitMethod,
+                                              request.SerializeAsString());
         wire::AdmitReply reply;
-        if (!message || !message.value() || !reply.ParseFromString(*message.value())) {
+        if (!message || !reply.ParseFromString(*message)) {
             co_return Error(ErrorKind::Unavailable, "the program's home does not answer");
         }
         switch (reply.verdict()) {
@@ -264,8 +300,9 @@
     std::shared_ptr<const std::string> firstUpdate() const
     {
         wire::Update update = newUpdate();
-        for (const turns::SpendReport &report : state.budgets().ownReports()) {
-            addSpend(update, report);
+        update.set_loaded(keeper.isLoaded());
+        for (const auto &[incarnation, report] : state.budgets().allReports()) {
+            addSpend(update, incarnation, report);
         }
         if (policy.version > 0) {
             update.mutable_policy()->set_version(policy.version);
@@ -274,10 +311,11 @@
         return std::make_shared<const std::string>(update.SerializeAsString());
     }
 
-    void addSpend(wire::Update &update, const turns::SpendReport &report) const
+    static void addSpend(wire::Update &update, const Incarnation &incarnation,
+                         const turns::SpendReport &report)
     {
         wire::Spend &spend = *update.add_spends();
-        *spend.mutable_record() = toRecord(self.incarnation, report);
+        *spend.mutable_record() = toRecord(incarnation, report);
         spend.set_in_flight_tokens(report.inFlight);
         spend.set_grants(report.grants);
         spend.set_is_home(report.isHome);
@@ -300,7 +338,7 @@
     {
         wire::Update update = newUpdate();
         for (const turns::SpendReport &report : state.budgets().takeChanges()) {
-            addSpend(update, report);
+            addSpend(update, self.incarnation, report);
         }
         for (const auto &[team, requests] : state.takeAdmitted()) {
             wire::Admitted &admitted = *update.add_admitted();
@@ -353,7 +391,12 @@
             report.inFlight = spend.in_flight_tokens();
             report.grants = spend.grants();
             report.isHome = spend.is_home();
-            state.budgets().onPeerReport(from, report, time);
+            const Incarnation spender(spend.record().incarnation());
+            if (spender == from) {
+                state.budgets().onPeerReport(from, report, time);
+            } else {
+                state.budgets().onJournalReport(spender, report, time);
+            }
         }
         for (const wire::Admitted &admitted : update.admitted()) {
             state.onPeerAdmitted(TeamName(admitted.team()), admitted.requests(), time);
@@ -388,7 +431,7 @@
             }
             if (peer->isConnected) {
                 peer->isConnected = false;
-                self->keeper.noteGap();
+                peer->isLoaded = false;
                 self->log.warning("Lost a peer.", Field("peer", peer->member.host),
                                   Field("incarnation", peer->member.incarnation));
                 self->state.placement().onPeerGone(peer->member.incarnation);
@@ -416,11 +459,11 @@
             }
             if (!peer->isConnected) {
                 peer->isConnected = true;
-                self->keeper.noteGap();
                 self->log.info("Hears a peer.", Field("peer", peer->member.host),
                                Field("incarnation", peer->member.incarnation));
             }
             peer->heardAt = now();
+            peer->isLoaded = peer->isLoaded || update.loaded();
             self->apply(update);
         }
     }
@@ -486,6 +529,9 @@
     for (const auto &[host, peer] : d->peers) {
         const auto still = kept.find(host);
         peer->isDropped = still == kept.end() || still->second != peer;
+        if (peer->isDropped) {
+            d->keeper.noteLostPeer();
+        }
     }
     d->peers = std::move(kept);
 }
@@ -536,22 +582,45 @@
     d->flush();
 }
 
-asio::awaitable<bool> PeerMesh::awaitAll(Duration timeout)
+asio::awaitable<bool> PeerMesh::findTurn(turns::TurnId id)
 {
     const auto self = d;
-    const Instant asked = Private::now();
-    asio::steady_timer pause(self->executor);
-    while (true) {
-        bool isDone = true;
-        for (const auto &[host, peer] : self->peers) {
-            isDone = isDone && peer->isConnected && peer->heardAt > asked;
+    wire::TurnRequest request;
+    request.set_turn_id(id.value());
+    const std::string bytes = request.SerializeAsString();
+    std::vector<std::shared_ptr<Peer>> asked;
+    for (const auto &[host, peer] : self->peers) {
+        asked.push_back(peer);
+    }
+    bool haveAllAnswered = true;
+    for (const auto &peer : asked) {
+        std::optional<std::string> message;
+        if (peer->isConnected) {
+            message = co_await self->askOnce(peer->member.address, kTurnMethod, bytes);
+        }
+        wire::TurnReply reply;
+        if (!message || !reply.ParseFromString(*message) || !reply.loaded()) {
+            haveAllAnswered = false;
+            continue;
+        }
+        for (const journal::TurnKept &turn : reply.turns()) {
+            self->keeper.learn(turn);
+        }
+        if (reply.turns_size() > 0) {
+            co_return true;
         }
-        if (isDone || Private::now() - asked >= timeout) {
-            co_return isDone;
+    }
+    co_return haveAllAnswered;
+}
+
+bool PeerMesh::hasLoadedPeer() const
+{
+    for (const auto &[host, peer] : d->peers) {
+        if (peer->isConnected && peer->isLoaded) {
+            return true;
         }
-        pause.expires_after(kHeardCheck);
-        (void)co_await pause.async_wait(kTuple);
     }
+    return false;
 }
 
 asio::awaitable<bool> PeerMesh::relay(std::vector<journal::Record> records)
--- a/basilhall/gateway/peer_mesh.h
+++ b/basilhall/gateway/peer_mesh.h
@@ -63,8 +63,11 @@
     // Elsewhere if the home has changed: ask the ledger again. Unavailable if it does not answer.
     boost::asio::awaitable<Result<turns::Admission>> askHome(turns::TurnBudget turn);
 
-    // True once every member has been heard after the call: what it said before has arrived.
-    boost::asio::awaitable<bool> awaitAll(Duration timeout);
+    // Asks the members for a turn and its chain, which the keeper then knows. True if one knew it or
+    // if all members answered that they do not.
+    boost::asio::awaitable<bool> findTurn(turns::TurnId id);
+    // True if a heard member has told all that was kept before.
+    bool hasLoadedPeer() const;
     // Asks the heard members one after the other to keep the records.
     boost::asio::awaitable<bool> relay(std::vector<journal::Record> records);
 
--- /dev/null
+++ b/basilhall/gateway/record_codec.cpp
@@ -0,0 +1,45 @@
+#include "basilhall/gateway/record_codec.h"
+
+namespace basilhall::gateway
+{
+
+journal::ProgramSpend toRecord(const Incarnation &self, const turns::SpendReport &report)
+{
+    journal::ProgramSpend record;
+    record.set_incarnation(self.value());
+    record.set_program_id(report.program.value());
+    record.set_team(report.team.value());
+    record.set_spent_tokens(report.spent);
+    record.set_covered_tokens(report.covered);
+    return record;
+}
+
+turns::SpendReport fromRecord(const journal::ProgramSpend &record)
+{
+    return {ProgramId(record.program_id()), TeamName(record.team()), record.spent_tokens(),
+            record.covered_tokens()};
+}
+
+journal::TurnKept toRecord(const turns::KeptTurn &turn)
+{
+    journal::TurnKept record;
+    record.set_turn_id(turn.id.value());
+    record.set_team(turn.team.value());
+    record.set_previous_turn_id(turn.previous.value());
+    record.set_input(turn.input);
+    record.set_output(turn.output);
+    record.set_kept_until_wall_ms(turn.keptUntil);
+    return record;
+}
+
+turns::KeptTurn fromRecord(const journal::TurnKept &record)
+{
+    return {turns::TurnId(record.turn_id()),
+            TeamName(record.team()),
+            turns::TurnId(record.previous_turn_id()),
+            record.input(),
+            record.output(),
+            record.kept_until_wall_ms()};
+}
+
+} // namespace basilhall::gateway
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -1,7 +1,7 @@
 #include "basilhall/gateway/turn_keeper.h"
 
 #include "basilhall/base/monotonic_clock.h"
-#include "basilhall/gateway/spend_codec.h"
+#include "basilhall/gateway/record_codec.h"
 #include "basilhall/journal/batch_codec.h"
 #include "basilhall/journal/writer.h"
 #include "basilhall/metrics/registry.h"
@@ -30,8 +30,6 @@
 constexpr Duration kNotKeepingAfter = std::chrono::milliseconds(600);
 // Pause after a peer could not help, before the next record tries one.
 constexpr Duration kRelayRetry = std::chrono::seconds(1);
-// Time for every peer to be heard again; each sends an update every 100 ms.
-constexpr Duration kNewsWait = std::chrono::milliseconds(250);
 // Time to come back after a refusal for lack of the object API.
 constexpr Duration kStoreRetry = std::chrono::milliseconds(500);
 // Least time between two creates of the journal, so that records of one moment share a call.
@@ -243,9 +241,7 @@
 
     void learn(const journal::TurnKept &turn)
     {
-        state.turns().add({turns::TurnId(turn.turn_id()), TeamName(turn.team()),
-                           turns::TurnId(turn.previous_turn_id()), turn.input(), turn.output(),
-                           turn.kept_until_wall_ms()});
+        state.turns().add(fromRecord(turn));
         progress.notify();
     }
 
@@ -262,12 +258,12 @@
         }
         self->isRefreshing = true;
         ++self->refreshesBegun;
-        const std::uint64_t gaps = self->gaps;
+        const std::uint64_t lostBefore = self->lostPeers;
         store::List all{journal::kJournalKind, ""};
         self->lastRefresh = co_await read(self, std::move(all));
         self->isRefreshing = false;
         if (self->lastRefresh) {
-            self->gapsClosed = gaps;
+            self->lostPeersRead = lostBefore;
         }
         self->refreshed.notify();
         co_return self->lastRefresh;
@@ -287,10 +283,10 @@
     std::optional<Instant> relayFailedAt;
     Announce announce;
     std::uint64_t refreshesBegun = 0;
-    // Times at which news of peers may have been missed, and how many of them a reading covers.
-    std::uint64_t gaps = 0;
-    std::uint64_t gapsClosed = 0;
-    AwaitPeers awaitPeers;
+    // Peers whose memory is gone, and how many of them the last reading covers.
+    std::uint64_t lostPeers = 0;
+    std::uint64_t lostPeersRead = 0;
+    SearchPeers searchPeers;
     bool isRefreshing = false;
     transport::Signal refreshed{executor};
     Result<void> lastRefresh = success();
@@ -332,15 +328,9 @@
 {
     const auto self = d;
     journal::Record record;
-    journal::TurnKept &kept = *record.mutable_turn_kept();
-    kept.set_turn_id(turn.id.value());
-    kept.set_team(turn.team.value());
-    kept.set_previous_turn_id(turn.previous.value());
-    kept.set_input(turn.input);
-    kept.set_output(turn.output);
-    kept.set_kept_until_wall_ms(turn.keptUntil);
+    *record.mutable_turn_kept() = toRecord(turn);
     if (self->announce) {
-        self->announce(kept);
+        self->announce(record.turn_kept());
     }
     self->state.turns().add(std::move(turn));
     std::vector<turns::SpendReport> spends;
@@ -416,9 +406,9 @@
         && !self->state.turns().belongsTo(previous, team)) {
         co_return made;
     }
-    const bool heardAll = self->awaitPeers && co_await self->awaitPeers(kNewsWait);
+    const bool isSearched = self->searchPeers && co_await self->searchPeers(previous);
     made = self->state.turns().prompt(previous, team, input);
-    if (made || (heardAll && self->gaps == self->gapsClosed)) {
+    if (made || (isSearched && self->lostPeers == self->lostPeersRead)) {
         co_return made;
     }
     const Result<void> read = co_await Private::refresh(self);
@@ -431,14 +421,19 @@
         .withRetryAfter(kStoreRetry);
 }
 
-void TurnKeeper::setAwaitPeers(AwaitPeers awaitPeers)
+void TurnKeeper::setSearchPeers(SearchPeers searchPeers)
 {
-    d->awaitPeers = std::move(awaitPeers);
+    d->searchPeers = std::move(searchPeers);
 }
 
-void TurnKeeper::noteGap()
+void TurnKeeper::noteLostPeer()
 {
-    ++d->gaps;
+    ++d->lostPeers;
+}
+
+void TurnKeeper::setLoaded()
+{
+    d->isLoaded = true;
 }
 
 bool TurnKeeper::isLoaded() const
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -36,8 +36,8 @@
     // Called for each turn that this process keeps, before it is durable.
     using Announce = std::function<void(const journal::TurnKept &)>;
 
-    // True once every peer has been heard after the call; false if one is not within the time.
-    using AwaitPeers = std::function<boost::asio::awaitable<bool>(Duration)>;
+    // Asks the peers for a turn, see PeerMesh::findTurn.
+    using SearchPeers = std::function<boost::asio::awaitable<bool>(turns::TurnId)>;
 
     TurnKeeper(const boost::asio::any_io_executor &executor, StoreAccess access, FleetState &state,
                logging::Log log, metrics::Registry &registry);
@@ -47,9 +47,11 @@
 
     void setRelay(Relay relay);
     void setAnnounce(Announce announce);
-    void setAwaitPeers(AwaitPeers awaitPeers);
-    // News of a peer may have been missed: only a reading of the journals makes sure again.
-    void noteGap();
+    void setSearchPeers(SearchPeers searchPeers);
+    // What a peer alone knew is gone with it: only a reading of the journals makes sure again.
+    void noteLostPeer();
+    // A peer has told all that was kept before.
+    void setLoaded();
 
     // Reads all journals that are there. Until it has succeeded once, nothing is known for sure.
     boost::asio::awaitable<Result<void>> load();
--- a/basilhall/http/internal/client_response.cpp
+++ b/basilhall/http/internal/client_response.cpp
@@ -21,7 +21,7 @@
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint32_t kMaxHeaderBytes = 32 * 1024;
-constexpr std::size_t kPartBytes = 8 * 1024;
+constexpr std::size_t kPartBytes = 32 * 1024;
 constexpr int kFirstFinalStatus = 200;
 // Servers count their idle time from before the answer arrives here.
 constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(500);
--- a/basilhall/turns/budget_ledger.cpp
+++ b/basilhall/turns/budget_ledger.cpp
@@ -178,12 +178,18 @@
     return changes;
 }
 
-std::vector<SpendReport> BudgetLedger::ownReports() const
+std::vector<std::pair<Incarnation, SpendReport>> BudgetLedger::allReports() const
 {
-    std::vector<SpendReport> reports;
+    std::vector<std::pair<Incarnation, SpendReport>> reports;
     for (const auto &[program, entry] : m_programs) {
-        if (entry.shares.contains(m_self)) {
-            reports.push_back(report(program, entry));
+        for (const auto &[incarnation, share] : entry.shares) {
+            // What a gone incarnation may have handed out goes on counting as spent.
+            const std::uint64_t covered =
+                share.isGone ? std::max(share.covered, share.most()) : share.covered;
+            const bool isHome = entry.home == incarnation;
+            reports.emplace_back(incarnation,
+                                 SpendReport{program, entry.team, share.spent, covered,
+                                             share.inFlight, share.grants, isHome});
         }
     }
     return reports;
--- a/basilhall/turns/budget_ledger.h
+++ b/basilhall/turns/budget_ledger.h
@@ -24,6 +24,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace basilhall::turns
@@ -95,8 +96,8 @@
     void onDurable(const SpendReport &record);
     // Returns the own programs that changed since the last call, for peers.
     std::vector<SpendReport> takeChanges();
-    // Returns all own programs, for a peer that has just connected.
-    std::vector<SpendReport> ownReports() const;
+    // Returns what is known of every incarnation, for a peer that has just connected.
+    std::vector<std::pair<Incarnation, SpendReport>> allReports() const;
     // Programs with spending that no record covers.
     std::vector<ProgramId> uncovered() const;
 
--- a/basilhall/turns/turn_table.cpp
+++ b/basilhall/turns/turn_table.cpp
@@ -20,6 +20,16 @@
     }
 }
 
+std::vector<KeptTurn> TurnTable::chain(const TurnId &id) const
+{
+    std::vector<KeptTurn> turns;
+    for (auto found = m_turns.find(id); found != m_turns.end();
+         found = m_turns.find(turns.back().previous)) {
+        turns.push_back(found->second);
+    }
+    return turns;
+}
+
 bool TurnTable::belongsTo(const TurnId &id, const TeamName &team) const
 {
     const auto found = m_turns.find(id);
--- a/basilhall/turns/turn_table.h
+++ b/basilhall/turns/turn_table.h
@@ -11,6 +11,7 @@
 
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace basilhall::turns
 {
@@ -22,6 +23,8 @@
     // Adding a known turn again changes nothing but how long it is kept. Its chain is kept as long.
     void add(KeptTurn turn);
     bool contains(const TurnId &id) const { return m_turns.contains(id); }
+    // Returns the turns of the chain that ends with `id`, last first, as far as they are known.
+    std::vector<KeptTurn> chain(const TurnId &id) const;
     bool belongsTo(const TurnId &id, const TeamName &team) const;
     // Returns what the endpoint is to read: input and output of each turn of the chain that ends
     // with `previous`, oldest first, and then `input`. NotFound names the turn of the chain that is
--- a/basilhall/turns/turn_table_test.cpp
+++ b/basilhall/turns/turn_table_test.cpp
@@ -44,6 +44,15 @@
     BOOST_TEST(foreign.error().notRun());
 }
 
+BOOST_AUTO_TEST_CASE(chainGoesBackToItsStart)
+{
+    const auto chain = table.chain(TurnId("b"));
+    BOOST_TEST_REQUIRE(chain.size() == 2U);
+    BOOST_TEST(chain.front().id == TurnId("b"));
+    BOOST_TEST(chain.back().id == TurnId("a"));
+    BOOST_TEST(table.chain(TurnId("x")).empty());
+}
+
 BOOST_AUTO_TEST_CASE(aChainIsKeptAsLongAsItsLastTurn)
 {
     table.expire(150);
