Gateways learn of each other by subscribing; a turn is unknown only if someone read the journals

Change: a subscription names its sender; a search counts only if one gateway has read the journals, which each does in the background after a start.

--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -25,6 +25,8 @@
 // Time to hear a peer that knows what was kept; peers that run are heard within some milliseconds.
 constexpr Duration kPeerWait = std::chrono::milliseconds(400);
 constexpr Duration kPeerCheck = std::chrono::milliseconds(20);
+// Pause between tries to read the journals while peers answer for them.
+constexpr Duration kBackgroundRetry = std::chrono::seconds(2);
 constexpr Duration kLoadRetry = std::chrono::milliseconds(200);
 // Spending is written within this time of a turn's end; think times of programs are longer.
 constexpr Duration kCoverInterval = std::chrono::milliseconds(200);
@@ -62,7 +64,8 @@
         , callLog(logs.log("call"), registry)
         , mesh(e, {settings.host, incarnation, settings.peerListen}, state, keeper,
                logs.log("peers"),
-               [this](const PolicyDocument &document) { takePolicy(document, "peer"); })
+               [this](const PolicyDocument &document) { takePolicy(document, "peer"); },
+               [this](const Member &member) { membership.meet(member); })
         , membership(e, {settings.host, incarnation, settings.peerListen}, std::move(access), mesh,
                      logs.log("peers"))
         , readyServer(e, settings.readyListen, {},
@@ -136,6 +139,12 @@
                        Field("programs", self->state.budgets().size()),
                        Field("from_peer", self->mesh.hasLoadedPeer()),
                        Field("after", now() - begun));
+        while (!self->keeper.knowsAllTurns() && !self->isStopped) {
+            // Peers may forget turns of before when they restart in turn.
+            const Result<void> done = co_await self->keeper.load();
+            pause.expires_after(done ? Duration::zero() : kBackgroundRetry);
+            (void)co_await pause.async_wait(kTuple);
+        }
     }
 
     // No other gateway is registered.
--- a/basilhall/gateway/member.cpp
+++ b/basilhall/gateway/member.cpp
@@ -6,13 +6,27 @@
 namespace basilhall::gateway
 {
 
-std::string encodeMember(const Member &member)
+wire::Member toWire(const Member &member)
 {
     wire::Member message;
     message.set_host(member.host.value());
     message.set_incarnation(member.incarnation.value());
     message.set_address(toString(member.address));
-    return store::sealEnvelope(message.SerializeAsString());
+    return message;
+}
+
+Result<Member> fromWire(const wire::Member &message)
+{
+    const Result<Address> address = parseAddress(message.address());
+    if (!address || message.host().empty()) {
+        return Error(ErrorKind::Corrupt, "member \"" + message.host() + "\" has no address");
+    }
+    return Member{HostName(message.host()), Incarnation(message.incarnation()), address.value()};
+}
+
+std::string encodeMember(const Member &member)
+{
+    return store::sealEnvelope(toWire(member).SerializeAsString());
 }
 
 Result<Member> decodeMember(const store::ObjectKey &key, std::string_view data)
@@ -22,11 +36,10 @@
     if (!message.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
         return store::corruptObject(key, "does not hold a member");
     }
-    const Result<Address> address = parseAddress(message.address());
-    if (!address || message.host() != key.name) {
+    if (message.host() != key.name) {
         return store::corruptObject(key, "does not describe the host that it is named after");
     }
-    return Member{HostName(message.host()), Incarnation(message.incarnation()), address.value()};
+    return fromWire(message);
 }
 
 } // namespace basilhall::gateway
--- a/basilhall/gateway/member.h
+++ b/basilhall/gateway/member.h
@@ -13,6 +13,11 @@
 namespace basilhall::gateway
 {
 
+namespace wire
+{
+class Member;
+}
+
 // Kind of the objects that hold registrations; the name is the host's.
 inline constexpr const char *kMemberKind = "gateways";
 
@@ -26,6 +31,10 @@
     auto operator<=>(const Member &) const = default;
 };
 
+wire::Member toWire(const Member &member);
+// Corrupt if the message names no address.
+Result<Member> fromWire(const wire::Member &message);
+
 std::string encodeMember(const Member &member);
 // Corrupt names the object.
 Result<Member> decodeMember(const store::ObjectKey &key, std::string_view data);
--- a/basilhall/gateway/membership.cpp
+++ b/basilhall/gateway/membership.cpp
@@ -144,6 +144,14 @@
     d->connect();
 }
 
+void Membership::meet(const Member &member)
+{
+    const auto known = d->members.find(member.host);
+    if (known == d->members.end() || known->second != member) {
+        set(member);
+    }
+}
+
 void Membership::remove(const HostName &host)
 {
     d->members.erase(host);
--- a/basilhall/gateway/membership.h
+++ b/basilhall/gateway/membership.h
@@ -36,6 +36,8 @@
     // What the object API says.
     void setAll(const std::vector<Member> &members);
     void set(const Member &member);
+    // What the member itself says.
+    void meet(const Member &member);
     void remove(const HostName &host);
 
     // Removes registrations of gateways that have been silent for long.
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -61,6 +61,8 @@
     Instant heardAt = Instant::min();
     Instant listedAt = Instant::min();
     bool isConnected = false;
+    // Turns of its journal up to this batch have been heard.
+    std::uint64_t durableBatch = 0;
     // Its first update held all that was kept before.
     bool isLoaded = false;
     bool isDropped = false;
@@ -72,13 +74,14 @@
 {
 public:
     Private(const asio::any_io_executor &e, Member s, FleetState &st, TurnKeeper &k,
-            logging::Log l, PolicyHandler handler)
+            logging::Log l, PolicyHandler policyHandler, MemberHandler memberHandler)
         : executor(e)
         , self(std::move(s))
         , state(st)
         , keeper(k)
         , log(std::move(l))
-        , onPolicy(std::move(handler))
+        , onPolicy(std::move(policyHandler))
+        , onMember(std::move(memberHandler))
         , client(e, kKeepAlive)
     {
     }
@@ -115,6 +118,16 @@
     static asio::awaitable<void> serveUpdates(std::shared_ptr<Private> self,
                                               std::shared_ptr<transport::ServerStream> stream)
     {
+        wire::Subscribe request;
+        if (!request.ParseFromString(stream->request())) {
+            self->log.warning("Dropped a malformed request of a peer.");
+            co_return;
+        }
+        const Result<Member> member = fromWire(request.member());
+        if (member) {
+            // A host that is cut off from the object API learns of new peers by this alone.
+            self->onMember(member.value());
+        }
         const auto subscriber = std::make_shared<Subscriber>(self->executor);
         stream->onCancelled([weak = std::weak_ptr<Subscriber>(subscriber)] {
             if (const auto alive = weak.lock()) {
@@ -201,7 +214,7 @@
             co_return;
         }
         wire::TurnReply reply;
-        reply.set_loaded(self->keeper.isLoaded());
+        reply.set_complete(self->keeper.knowsAllTurns());
         for (const turns::KeptTurn &turn :
              self->state.turns().chain(turns::TurnId(request.turn_id()))) {
             *reply.add_turns() = toRecord(turn);
@@ -294,6 +307,7 @@
     {
         wire::Update update;
         update.set_incarnation(self.incarnation.value());
+        update.set_durable_batch(keeper.durableBatch());
         return update;
     }
 
@@ -422,7 +436,7 @@
     {
         asio::steady_timer pause(self->executor);
         wire::Subscribe request;
-        request.set_incarnation(self->self.incarnation.value());
+        *request.mutable_member() = toWire(self->self);
         while (!peer->isDropped && !self->isClosed) {
             auto stream = co_await self->client.open(peer->member.address, kUpdatesMethod,
                                                      request.SerializeAsString(), kConnectTimeout);
@@ -463,6 +477,7 @@
                                Field("incarnation", peer->member.incarnation));
             }
             peer->heardAt = now();
+            peer->durableBatch = update.durable_batch();
             peer->isLoaded = peer->isLoaded || update.loaded();
             self->apply(update);
         }
@@ -487,6 +502,7 @@
     TurnKeeper &keeper;
     logging::Log log;
     PolicyHandler onPolicy;
+    MemberHandler onMember;
     transport::StreamClient client;
     std::unique_ptr<transport::StreamServer> server;
     std::map<HostName, std::shared_ptr<Peer>> peers;
@@ -496,9 +512,10 @@
 };
 
 PeerMesh::PeerMesh(const asio::any_io_executor &executor, Member self, FleetState &state,
-                   TurnKeeper &keeper, logging::Log log, PolicyHandler onPolicy)
+                   TurnKeeper &keeper, logging::Log log, PolicyHandler onPolicy,
+                   MemberHandler onMember)
     : d(std::make_shared<Private>(executor, std::move(self), state, keeper, std::move(log),
-                                  std::move(onPolicy)))
+                                  std::move(onPolicy), std::move(onMember)))
 {
     d->listen();
 }
@@ -530,7 +547,7 @@
         const auto still = kept.find(host);
         peer->isDropped = still == kept.end() || still->second != peer;
         if (peer->isDropped) {
-            d->keeper.noteLostPeer();
+            d->keeper.noteLostPeer(peer->member.incarnation, peer->durableBatch);
         }
     }
     d->peers = std::move(kept);
@@ -582,7 +599,7 @@
     d->flush();
 }
 
-asio::awaitable<bool> PeerMesh::findTurn(turns::TurnId id)
+asio::awaitable<TurnSearch> PeerMesh::findTurn(turns::TurnId id)
 {
     const auto self = d;
     wire::TurnRequest request;
@@ -593,24 +610,29 @@
         asked.push_back(peer);
     }
     bool haveAllAnswered = true;
+    bool isOneComplete = false;
     for (const auto &peer : asked) {
         std::optional<std::string> message;
         if (peer->isConnected) {
             message = co_await self->askOnce(peer->member.address, kTurnMethod, bytes);
         }
         wire::TurnReply reply;
-        if (!message || !reply.ParseFromString(*message) || !reply.loaded()) {
+        if (!message || !reply.ParseFromString(*message)) {
             haveAllAnswered = false;
             continue;
         }
+        isOneComplete = isOneComplete || reply.complete();
         for (const journal::TurnKept &turn : reply.turns()) {
             self->keeper.learn(turn);
         }
         if (reply.turns_size() > 0) {
-            co_return true;
+            co_return TurnSearch::Found;
         }
     }
-    co_return haveAllAnswered;
+    if (!haveAllAnswered) {
+        co_return TurnSearch::Unsure;
+    }
+    co_return isOneComplete ? TurnSearch::Unknown : TurnSearch::UnknownToPeers;
 }
 
 bool PeerMesh::hasLoadedPeer() const
--- a/basilhall/gateway/peer_mesh.h
+++ b/basilhall/gateway/peer_mesh.h
@@ -37,9 +37,12 @@
     // Takes a version that a peer has in force.
     using PolicyHandler = std::function<void(const PolicyDocument &)>;
 
+    // Takes a gateway that has just subscribed.
+    using MemberHandler = std::function<void(const Member &)>;
+
     // Listens on the member's address.
     PeerMesh(const boost::asio::any_io_executor &executor, Member self, FleetState &state,
-             TurnKeeper &keeper, logging::Log log, PolicyHandler onPolicy);
+             TurnKeeper &keeper, logging::Log log, PolicyHandler onPolicy, MemberHandler onMember);
     ~PeerMesh();
     PeerMesh(const PeerMesh &) = delete;
     PeerMesh &operator=(const PeerMesh &) = delete;
@@ -63,9 +66,8 @@
     // Elsewhere if the home has changed: ask the ledger again. Unavailable if it does not answer.
     boost::asio::awaitable<Result<turns::Admission>> askHome(turns::TurnBudget turn);
 
-    // Asks the members for a turn and its chain, which the keeper then knows. True if one knew it or
-    // if all members answered that they do not.
-    boost::asio::awaitable<bool> findTurn(turns::TurnId id);
+    // Asks the members for a turn and its chain, which the keeper then knows.
+    boost::asio::awaitable<TurnSearch> findTurn(turns::TurnId id);
     // True if a heard member has told all that was kept before.
     bool hasLoadedPeer() const;
     // Asks the heard members one after the other to keep the records.
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <map>
 #include <optional>
 
 namespace basilhall::gateway
@@ -245,6 +246,36 @@
         progress.notify();
     }
 
+    static asio::awaitable<Result<void>> readAll(std::shared_ptr<Private> self)
+    {
+        const auto lost = self->lostPeers;
+        store::List all{journal::kJournalKind, ""};
+        const Result<void> done = co_await read(self, std::move(all));
+        if (done) {
+            self->hasRead = true;
+            for (const auto &[peer, heard] : lost) {
+                self->lostPeers.erase(peer);
+            }
+        }
+        co_return done;
+    }
+
+    // Reads what was not heard of the journals of lost peers.
+    static asio::awaitable<Result<void>> readLostPeers(std::shared_ptr<Private> self)
+    {
+        const auto lost = self->lostPeers;
+        for (const auto &[peer, heard] : lost) {
+            store::List rest{journal::kJournalKind, peer.value() + ".",
+                             journal::batchKey(peer, heard).name};
+            const Result<void> done = co_await read(self, std::move(rest));
+            if (!done) {
+                co_return done;
+            }
+            self->lostPeers.erase(peer);
+        }
+        co_return success();
+    }
+
     // One reading at a time; whoever comes while one runs waits for the next, which begins later
     // than the asking.
     static asio::awaitable<Result<void>> refresh(std::shared_ptr<Private> self)
@@ -258,17 +289,18 @@
         }
         self->isRefreshing = true;
         ++self->refreshesBegun;
-        const std::uint64_t lostBefore = self->lostPeers;
-        store::List all{journal::kJournalKind, ""};
-        self->lastRefresh = co_await read(self, std::move(all));
-        self->isRefreshing = false;
-        if (self->lastRefresh) {
-            self->lostPeersRead = lostBefore;
+        if (self->hasRead) {
+            self->lastRefresh = co_await readLostPeers(self);
+        } else {
+            self->lastRefresh = co_await readAll(self);
         }
+        self->isRefreshing = false;
         self->refreshed.notify();
         co_return self->lastRefresh;
     }
 
+    bool knowsAllTurns() const { return hasRead && lostPeers.empty(); }
+
     asio::any_io_executor executor;
     StoreAccess access;
     FleetState &state;
@@ -283,10 +315,10 @@
     std::optional<Instant> relayFailedAt;
     Announce announce;
     std::uint64_t refreshesBegun = 0;
-    // Peers whose memory is gone, and how many of them the last reading covers.
-    std::uint64_t lostPeers = 0;
-    std::uint64_t lostPeersRead = 0;
+    // Peers whose memory is gone, and the last batch of each that was heard.
+    std::map<Incarnation, journal::BatchNumber> lostPeers;
     SearchPeers searchPeers;
+    bool hasRead = false;
     bool isRefreshing = false;
     transport::Signal refreshed{executor};
     Result<void> lastRefresh = success();
@@ -406,9 +438,14 @@
         && !self->state.turns().belongsTo(previous, team)) {
         co_return made;
     }
-    const bool isSearched = self->searchPeers && co_await self->searchPeers(previous);
+    TurnSearch search = TurnSearch::Unsure;
+    if (self->searchPeers) {
+        search = co_await self->searchPeers(previous);
+    }
     made = self->state.turns().prompt(previous, team, input);
-    if (made || (isSearched && self->lostPeers == self->lostPeersRead)) {
+    const bool isSure = search == TurnSearch::Unknown
+        || (search == TurnSearch::UnknownToPeers && self->knowsAllTurns());
+    if (made || isSure) {
         co_return made;
     }
     const Result<void> read = co_await Private::refresh(self);
@@ -426,9 +463,14 @@
     d->searchPeers = std::move(searchPeers);
 }
 
-void TurnKeeper::noteLostPeer()
+void TurnKeeper::noteLostPeer(const Incarnation &peer, std::uint64_t heard)
 {
-    ++d->lostPeers;
+    d->lostPeers.emplace(peer, heard);
+}
+
+std::uint64_t TurnKeeper::durableBatch() const
+{
+    return d->writer.durableNumber();
 }
 
 void TurnKeeper::setLoaded()
@@ -436,6 +478,11 @@
     d->isLoaded = true;
 }
 
+bool TurnKeeper::knowsAllTurns() const
+{
+    return d->knowsAllTurns();
+}
+
 bool TurnKeeper::isLoaded() const
 {
     return d->isLoaded;
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -27,6 +27,17 @@
 namespace basilhall::gateway
 {
 
+// What the peers say of a turn.
+enum class TurnSearch {
+    Found,
+    // All peers answered, and one of them knows all turns.
+    Unknown,
+    // All peers answered, but turns of before may be in the journals alone.
+    UnknownToPeers,
+    // A peer did not answer.
+    Unsure,
+};
+
 // Not thread-safe: use from its executor. `state` must outlive it.
 class TurnKeeper
 {
@@ -37,7 +48,7 @@
     using Announce = std::function<void(const journal::TurnKept &)>;
 
     // Asks the peers for a turn, see PeerMesh::findTurn.
-    using SearchPeers = std::function<boost::asio::awaitable<bool>(turns::TurnId)>;
+    using SearchPeers = std::function<boost::asio::awaitable<TurnSearch>(turns::TurnId)>;
 
     TurnKeeper(const boost::asio::any_io_executor &executor, StoreAccess access, FleetState &state,
                logging::Log log, metrics::Registry &registry);
@@ -48,10 +59,15 @@
     void setRelay(Relay relay);
     void setAnnounce(Announce announce);
     void setSearchPeers(SearchPeers searchPeers);
-    // What a peer alone knew is gone with it: only a reading of the journals makes sure again.
-    void noteLostPeer();
-    // A peer has told all that was kept before.
+    // A peer is gone whose turns up to the batch `heard` of its journal were heard; the rest is read
+    // from its journal when it is needed.
+    void noteLostPeer(const Incarnation &peer, std::uint64_t heard);
+    // Number of the last own batch that is durable.
+    std::uint64_t durableBatch() const;
+    // A peer has told all spending that was kept before.
     void setLoaded();
+    // True once the journals were read, and again those of peers that were lost since.
+    bool knowsAllTurns() const;
 
     // Reads all journals that are there. Until it has succeeded once, nothing is known for sure.
     boost::asio::awaitable<Result<void>> load();
--- a/basilhall/store/kube_store.cpp
+++ b/basilhall/store/kube_store.cpp
@@ -146,7 +146,7 @@
                 co_return page.error();
             }
             for (Object &object : page.value().objects) {
-                if (object.key.name.starts_with(list.prefix)) {
+                if (object.key.name.starts_with(list.prefix) && object.key.name > list.after) {
                     matches.push_back(std::move(object));
                 }
             }
--- a/basilhall/store/memory_store.cpp
+++ b/basilhall/store/memory_store.cpp
@@ -76,7 +76,9 @@
     for (auto it = m_objects.lower_bound(ObjectKey{list.kind, list.prefix}); it != m_objects.end()
          && it->first.kind == list.kind && it->first.name.starts_with(list.prefix);
          ++it) {
-        matches.push_back(it->second);
+        if (it->first.name > list.after) {
+            matches.push_back(it->second);
+        }
     }
     return matches;
 }
--- a/basilhall/store/operation.h
+++ b/basilhall/store/operation.h
@@ -35,10 +35,12 @@
     auto operator<=>(const Read &) const = default;
 };
 
-// Reads all objects of a kind whose name starts with `prefix`, in name order.
+// Reads all objects of a kind whose name starts with `prefix`, in name order; with `after`, only
+// those whose name comes later.
 struct List {
     std::string kind;
     std::string prefix;
+    std::string after{};
     auto operator<=>(const List &) const = default;
 };
 
