--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -24,6 +24,9 @@
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 // Time to hear a peer that knows what was kept; peers that run are heard within some milliseconds.
 constexpr Duration kPeerWait = std::chrono::milliseconds(400);
+// Time to connect to all registered peers before any program gets a new home here; a registration
+// may be that of a host that is gone.
+constexpr Duration kMeetWait = std::chrono::seconds(2);
 constexpr Duration kPeerCheck = std::chrono::milliseconds(20);
 // Pause between tries to read the journals while peers answer for them.
 constexpr Duration kBackgroundRetry = std::chrono::seconds(2);
@@ -134,6 +137,10 @@
             pause.expires_after(kLoadRetry);
             (void)co_await pause.async_wait(kTuple);
         }
+        while (now() - begun < kMeetWait && !self->mesh.isConnectedToAll()) {
+            pause.expires_after(kPeerCheck);
+            (void)co_await pause.async_wait(kTuple);
+        }
         self->keeper.setLoaded();
         self->log.info("Knows what was kept.", Field("turns", self->state.turns().size()),
                        Field("programs", self->state.budgets().size()),
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -255,7 +255,7 @@
         std::shared_ptr<Peer> best;
         std::size_t bestRank = rank(program, self.host);
         for (const auto &[host, peer] : peers) {
-            if (isHeard(*peer) && rank(program, host) > bestRank) {
+            if (peer->isConnected && rank(program, host) > bestRank) {
                 best = peer;
                 bestRank = rank(program, host);
             }
@@ -635,6 +635,16 @@
     co_return isOneComplete ? TurnSearch::Unknown : TurnSearch::UnknownToPeers;
 }
 
+bool PeerMesh::isConnectedToAll() const
+{
+    for (const auto &[host, peer] : d->peers) {
+        if (!peer->isConnected) {
+            return false;
+        }
+    }
+    return true;
+}
+
 bool PeerMesh::hasLoadedPeer() const
 {
     for (const auto &[host, peer] : d->peers) {
@@ -677,6 +687,7 @@
     if (!home) {
         self->log.info("Becomes the home of a program.", Field("program", turn.program));
         self->state.budgets().claim(turn.program, Private::now());
+        self->flush();
         co_return turns::Admission::Elsewhere;
     }
     co_return co_await self->ask(home, std::move(turn));
--- a/basilhall/gateway/peer_mesh.h
+++ b/basilhall/gateway/peer_mesh.h
@@ -68,6 +68,7 @@
 
     // Asks the members for a turn and its chain, which the keeper then knows.
     boost::asio::awaitable<TurnSearch> findTurn(turns::TurnId id);
+    bool isConnectedToAll() const;
     // True if a heard member has told all that was kept before.
     bool hasLoadedPeer() const;
     // Asks the heard members one after the other to keep the records.
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -350,9 +350,7 @@
 asio::awaitable<Result<void>> TurnKeeper::load()
 {
     const auto self = d;
-    const Result<void> done = co_await Private::refresh(self);
-    self->isLoaded = self->isLoaded || done;
-    co_return done;
+    co_return co_await Private::refresh(self);
 }
 
 asio::awaitable<Result<void>> TurnKeeper::keep(turns::KeptTurn turn, ProgramId program,
--- a/basilhall/turns/budget_ledger.cpp
+++ b/basilhall/turns/budget_ledger.cpp
@@ -238,7 +238,8 @@
     if (report.spent < share.spent || report.grants < share.grants) {
         return;
     }
-    if (report.isHome && entry.home != m_self) {
+    // Of two that became home at one moment, all follow the same.
+    if (report.isHome && (entry.home != m_self || peer < m_self)) {
         entry.home = peer;
     }
     share.isGone = false;
--- a/basilhall/turns/budget_ledger_test.cpp
+++ b/basilhall/turns/budget_ledger_test.cpp
@@ -108,6 +108,17 @@
     BOOST_TEST((admit(700) == Admission::Admitted));
 }
 
+BOOST_AUTO_TEST_CASE(ofTwoHomesAllFollowTheSame)
+{
+    BudgetLedger other{kPeer};
+    ledger.claim(kProgram, kNow);
+    other.claim(kProgram, kNow);
+    const SpendReport claim{kProgram, kTeam, 0, 0, 0, 0, true};
+    ledger.onPeerReport(kPeer, claim, kNow);
+    other.onPeerReport(kSelf, claim, kNow);
+    BOOST_TEST(ledger.home(kProgram) == other.home(kProgram));
+}
+
 BOOST_AUTO_TEST_CASE(aJournalNeitherLowersNorRevivesWhatIsKnown)
 {
     ledger.onJournalReport(kPeer, {kProgram, kTeam, 200, 600}, kNow);
