Gateways that hear each other share a team's limit together

Callers came back into an outage of the store too early. Change: those that hear each other have their joint part; a silent peer is dropped after 8 s; Retry-After of 1 s while the store takes no records. Lines of requests tell the budget.

--- a/basilhall/gateway/fleet_state.cpp
+++ b/basilhall/gateway/fleet_state.cpp
@@ -39,7 +39,7 @@
             found->second.setRate(*team.rate, now);
         } else {
             limit::SharedRate &rate = m_rates.try_emplace(team.name, *team.rate, now).first->second;
-            rate.setShare(1, m_isWhole ? 1 : m_members, now);
+            rate.setShare(m_heard, m_members, now);
         }
     }
     std::erase_if(m_rates, [&policy](const auto &entry) {
@@ -141,15 +141,15 @@
     }
 }
 
-void FleetState::setLimitShare(bool isWhole, std::uint32_t whole, Instant now)
+void FleetState::setLimitShare(std::uint32_t heard, std::uint32_t all, Instant now)
 {
-    if (isWhole == m_isWhole && whole == m_members) {
+    if (heard == m_heard && all == m_members) {
         return;
     }
-    m_isWhole = isWhole;
-    m_members = whole;
+    m_heard = heard;
+    m_members = all;
     for (auto &[team, rate] : m_rates) {
-        rate.setShare(1, isWhole ? 1 : whole, now);
+        rate.setShare(heard, all, now);
     }
 }
 
--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -53,8 +53,9 @@
     // A request that was admitted has not run.
     void giveBack(const TeamName &team, Instant now);
     void onPeerAdmitted(const TeamName &team, std::uint64_t requests, Instant now);
-    // Of `whole` gateways this one hears all (`isWhole`), or only itself counts.
-    void setLimitShare(bool isWhole, std::uint32_t whole, Instant now);
+    // Of `all` gateways this one and those it hears, `heard` in all, tell each other what they admit;
+    // together they have that part of the limits.
+    void setLimitShare(std::uint32_t heard, std::uint32_t all, Instant now);
     // Requests admitted by team since the last call.
     std::vector<std::pair<TeamName, std::uint64_t>> takeAdmitted();
 
@@ -74,7 +75,7 @@
     turns::BudgetLedger m_budgets;
     std::unordered_map<TeamName, limit::SharedRate> m_rates;
     std::unordered_map<TeamName, std::uint64_t> m_admitted;
-    bool m_isWhole = true;
+    std::uint32_t m_heard = 1;
     std::uint32_t m_members = 1;
 };
 
--- a/basilhall/gateway/internal/call_log.cpp
+++ b/basilhall/gateway/internal/call_log.cpp
@@ -75,6 +75,7 @@
                    Field("route", PublicText(routeName(context))),
                    Field("endpoint", context.endpoint), Field("sends", context.sends),
                    Field("events", context.events), Field("took", took),
+                   Field("budget", context.call.tokenBudget.value_or(0)),
                    Field("policy", versionOf(context)));
         return;
     }
@@ -84,7 +85,8 @@
                Field("route", PublicText(routeName(context))), Field("endpoint", context.endpoint),
                Field("sends", context.sends), Field("runs", context.runs),
                Field("events", context.events), Field("took", took),
-               Field("caller_gone", context.isCallerGone), Field("policy", versionOf(context)),
+               Field("caller_gone", context.isCallerGone),
+               Field("budget", context.call.tokenBudget.value_or(0)), Field("policy", versionOf(context)),
                Field("not_run", outcome.error().notRun()), Field("reason", outcome.error()));
 }
 
--- a/basilhall/gateway/internal/route_choice.h
+++ b/basilhall/gateway/internal/route_choice.h
@@ -22,7 +22,8 @@
 inline constexpr Duration kLoadRetry = std::chrono::milliseconds(500);
 inline constexpr Duration kNoEndpointRetry = std::chrono::milliseconds(300);
 inline constexpr Duration kRefusedRetry = std::chrono::milliseconds(200);
-inline constexpr Duration kStoreRetry = std::chrono::milliseconds(500);
+// Outages of the object API last seconds; a caller waits a third of its time at most.
+inline constexpr Duration kStoreRetry = std::chrono::seconds(1);
 // Endpoints that one request is sent to while none of them runs it; a service whose endpoints all
 // refuse is full, and further sends only delay the answer.
 inline constexpr std::uint32_t kMaxSends = 4;
--- a/basilhall/gateway/membership.cpp
+++ b/basilhall/gateway/membership.cpp
@@ -14,8 +14,8 @@
 {
 
 constexpr Duration kRetryPause = std::chrono::milliseconds(300);
-// Longer than a host's restart and than cuts between hosts usually last.
-constexpr Duration kSilentTooLong = std::chrono::seconds(20);
+// Several times a host's restart. Until then a silent peer's part of the limits stays unused.
+constexpr Duration kSilentTooLong = std::chrono::seconds(8);
 
 } // namespace
 
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -389,8 +389,8 @@
         for (const auto &[host, peer] : peers) {
             heard += isHeard(*peer) ? 1 : 0;
         }
-        state.setLimitShare(heard == peers.size(), static_cast<std::uint32_t>(peers.size() + 1),
-                            now());
+        state.setLimitShare(static_cast<std::uint32_t>(heard + 1),
+                            static_cast<std::uint32_t>(peers.size() + 1), now());
     }
 
     void apply(const wire::Update &update)
