--- a/basilhall/gateway/fleet_state.cpp
+++ b/basilhall/gateway/fleet_state.cpp
@@ -42,9 +42,8 @@
             rate.setShare(m_heard, m_members, now);
         }
     }
-    std::erase_if(m_rates, [&policy](const auto &entry) {
-        return policy->findTeam(entry.first) == nullptr;
-    });
+    std::erase_if(
+        m_rates, [&policy](const auto &entry) { return policy->findTeam(entry.first) == nullptr; });
     placeAll();
     return true;
 }
--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -53,8 +53,8 @@
     // A request that was admitted has not run.
     void giveBack(const TeamName &team, Instant now);
     void onPeerAdmitted(const TeamName &team, std::uint64_t requests, Instant now);
-    // Of `all` gateways this one and those it hears, `heard` in all, tell each other what they admit;
-    // together they have that part of the limits.
+    // Of `all` gateways this one and those it hears, `heard` in all, tell each other what they
+    // admit; together they have that part of the limits.
     void setLimitShare(std::uint32_t heard, std::uint32_t all, Instant now);
     // Requests admitted by team since the last call.
     std::vector<std::pair<TeamName, std::uint64_t>> takeAdmitted();
--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -1,4 +1,5 @@
-// Serves the requests of callers: checks, limits, sends each to an endpoint and passes its answer on.
+// Serves the requests of callers: checks, limits, sends each to an endpoint and passes its answer
+// on.
 //
 //     Forwarder<Dialect> forwarder(client, state, keeper, log, registry, random);
 //     http::Server server(executor, listen, limits,
@@ -79,8 +80,8 @@
         BOOST_OUTCOME_TRY(context.call, Dialect::decodeCall(context.exchange->request()));
         BOOST_OUTCOME_TRY(resolveRoute(context));
         if (context.team != nullptr) {
-            BOOST_OUTCOME_TRY(m_state.admit(context.team->name, beginsProgram(context),
-                                            context.arrivedAt));
+            BOOST_OUTCOME_TRY(
+                m_state.admit(context.team->name, beginsProgram(context), context.arrivedAt));
         }
         return success();
     }
@@ -88,8 +89,7 @@
     // True for the first turn of a program that no gateway has heard of.
     bool beginsProgram(const CallContext &context) const
     {
-        return context.route->kind == fleet::CallKind::Stream
-            && context.call.previousTurn.isEmpty()
+        return context.route->kind == fleet::CallKind::Stream && context.call.previousTurn.isEmpty()
             && !m_state.budgets().knows(context.call.program);
     }
 
@@ -138,8 +138,9 @@
                 co_return settle(*context, Error(ErrorKind::Cancelled, "the caller left"));
             }
             if (now >= context->deadline) {
-                co_return settle(*context, Error(ErrorKind::DeadlineExceeded,
-                                                 "the time of the request is over"));
+                co_return settle(
+                    *context,
+                    Error(ErrorKind::DeadlineExceeded, "the time of the request is over"));
             }
             const fleet::Endpoint *chosen =
                 m_state.placement().choose(context->work, context->tried, m_random(), now);
@@ -151,8 +152,7 @@
             if (answer) {
                 co_return answer;
             }
-            const bool mayRepeat =
-                (answer.error().notRun() && context->sends < kMaxSends)
+            const bool mayRepeat = (answer.error().notRun() && context->sends < kMaxSends)
                 || (fleet::isRepeatable(*context->route)
                     && context->runs < context->route->maxAttempts);
             if (!mayRepeat || context->isCallerGone) {
@@ -198,13 +198,12 @@
             m_state.placement().onFinished(endpoint.name, context->work);
             context->tried.insert(endpoint.name);
             if (facts.isOtherEndpoint) {
-                m_state.placement().suspend(endpoint.name,
-                                            MonotonicClock().now() + kStrangerPause);
+                m_state.placement().suspend(endpoint.name, MonotonicClock().now() + kStrangerPause);
             }
             m_log.notRun(*context, answer.value()->status());
             co_await drain(*answer.value());
-            co_return Error(ErrorKind::Overloaded, "endpoint \"" + endpoint.name.value()
-                                                       + "\" did not take the request")
+            co_return Error(ErrorKind::Overloaded,
+                            "endpoint \"" + endpoint.name.value() + "\" did not take the request")
                 .withNotRun()
                 .withRetryAfter(kRefusedRetry);
         }
@@ -213,8 +212,9 @@
             m_state.placement().onFinished(endpoint.name, context->work);
             context->tried.insert(endpoint.name);
             m_log.failed(*context, Error(ErrorKind::EndpointFailed, "the answer is not signed"));
-            co_return Error(ErrorKind::EndpointFailed, "endpoint \"" + endpoint.name.value()
-                                                           + "\" gave an answer without signature");
+            co_return Error(ErrorKind::EndpointFailed,
+                            "endpoint \"" + endpoint.name.value()
+                                + "\" gave an answer without signature");
         }
         co_return answer;
     }
@@ -234,8 +234,7 @@
     {
         context.tried.insert(endpoint.name);
         if (error.notRun()) {
-            m_state.placement().suspend(endpoint.name,
-                                        MonotonicClock().now() + kUnreachablePause);
+            m_state.placement().suspend(endpoint.name, MonotonicClock().now() + kUnreachablePause);
         } else {
             ++context.runs;
         }
@@ -282,8 +281,7 @@
         response.headers = Dialect::callerHeaders(stream.headers());
         context->stop = [&stream] { stream.cancel(); };
         while (true) {
-            const auto part =
-                co_await stream.read(std::max(timeLeft(*context), Duration::zero()));
+            const auto part = co_await stream.read(std::max(timeLeft(*context), Duration::zero()));
             if (!part || !part.value()) {
                 context->stop = nullptr;
                 if (!part) {
@@ -332,8 +330,8 @@
                     .withNotRun()
                     .withRetryAfter(kStoreRetry);
             }
-            auto prompt = co_await m_keeper.prompt(context->call.previousTurn, teamOf(*context),
-                                                   input);
+            auto prompt =
+                co_await m_keeper.prompt(context->call.previousTurn, teamOf(*context), input);
             if (!prompt) {
                 co_return prompt.error();
             }
@@ -354,8 +352,7 @@
         turn.budget = *call.tokenBudget;
         turn.most = call.mostOutputTokens;
         for (std::uint32_t round = 0; round < kAdmissionRounds; ++round) {
-            turns::Admission admission =
-                m_state.budgets().admit(turn, MonotonicClock().now());
+            turns::Admission admission = m_state.budgets().admit(turn, MonotonicClock().now());
             if (admission == turns::Admission::Elsewhere
                 || admission == turns::Admission::Orphaned) {
                 const auto asked = co_await m_askHome(turn);
@@ -431,8 +428,7 @@
         EventSplitter splitter;
         context->stop = [&stream] { stream.cancel(); };
         while (true) {
-            const auto part =
-                co_await stream.read(std::max(timeLeft(*context), Duration::zero()));
+            const auto part = co_await stream.read(std::max(timeLeft(*context), Duration::zero()));
             if (!part) {
                 context->stop = nullptr;
                 co_return part.error();
@@ -461,8 +457,8 @@
                                                http::ResponseStream &stream)
     {
         context->hasBegun = true;
-        co_return co_await context->exchange->beginStream(
-            stream.status(), Dialect::callerHeaders(stream.headers()));
+        co_return co_await context->exchange->beginStream(stream.status(),
+                                                          Dialect::callerHeaders(stream.headers()));
     }
 
     boost::asio::awaitable<Result<void>> writeEvents(std::shared_ptr<CallContext> context,
@@ -503,7 +499,8 @@
                                                      http::ResponseStream &stream)
     {
         if (context->hasBegun) {
-            co_return Error(ErrorKind::EndpointFailed, "the endpoint does not go on with the stream");
+            co_return Error(ErrorKind::EndpointFailed,
+                            "the endpoint does not go on with the stream");
         }
         auto whole = co_await collect(context, stream);
         if (!whole) {
--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -67,10 +67,11 @@
         , state(incarnation, settings.failureDomain)
         , keeper(e, access, state, logs.log("turns"), registry)
         , callLog(logs.log("call"), registry)
-        , mesh(e, {settings.host, incarnation, settings.peerListen}, state, keeper,
-               logs.log("peers"),
-               [this](const PolicyDocument &document) { takePolicy(document, "peer"); },
-               [this](const Member &member) { membership.meet(member); })
+        , mesh(
+              e, {settings.host, incarnation, settings.peerListen}, state, keeper,
+              logs.log("peers"),
+              [this](const PolicyDocument &document) { takePolicy(document, "peer"); },
+              [this](const Member &member) { membership.meet(member); })
         , membership(e, {settings.host, incarnation, settings.peerListen}, std::move(access), mesh,
                      logs.log("peers"))
         , readyServer(e, settings.readyListen, {},
@@ -118,15 +119,14 @@
         }
     }
 
-    // Learns what was spent from a peer, or else from the object API, until it succeeds; and then all
-    // turns in the background.
+    // Learns what was spent from a peer, or else from the object API, until it succeeds; and then
+    // all turns in the background.
     static asio::awaitable<void> load(std::shared_ptr<Private> self)
     {
         asio::steady_timer pause(self->executor);
         const Instant begun = now();
         // Every peer tells at once whether it knows.
-        while (now() - begun < kPeerWait
-               && !(self->hasMembers && self->mesh.isConnectedToAll())) {
+        while (now() - begun < kPeerWait && !(self->hasMembers && self->mesh.isConnectedToAll())) {
             pause.expires_after(kPeerCheck);
             (void)co_await pause.async_wait(kTuple);
         }
--- a/basilhall/gateway/internal/call_log.cpp
+++ b/basilhall/gateway/internal/call_log.cpp
@@ -70,24 +70,22 @@
         if (context.firstEventAt) {
             m_firstSeconds.observe(seconds(*context.firstEventAt - context.arrivedAt));
         }
-        m_log.info("Served.", Field("call", context.call.id),
-                   Field("program", context.call.program),
-                   Field("route", PublicText(routeName(context))),
-                   Field("endpoint", context.endpoint), Field("sends", context.sends),
-                   Field("events", context.events), Field("took", took),
-                   Field("budget", context.call.tokenBudget.value_or(0)),
-                   Field("policy", versionOf(context)));
+        m_log.info(
+            "Served.", Field("call", context.call.id), Field("program", context.call.program),
+            Field("route", PublicText(routeName(context))), Field("endpoint", context.endpoint),
+            Field("sends", context.sends), Field("events", context.events), Field("took", took),
+            Field("budget", context.call.tokenBudget.value_or(0)),
+            Field("policy", versionOf(context)));
         return;
     }
     m_registry.counter(Metric::CallsFinished, errorTraits(outcome.error().kind()).name).add();
-    m_log.info("Not served.", Field("call", context.call.id),
-               Field("program", context.call.program),
-               Field("route", PublicText(routeName(context))), Field("endpoint", context.endpoint),
-               Field("sends", context.sends), Field("runs", context.runs),
-               Field("events", context.events), Field("took", took),
-               Field("caller_gone", context.isCallerGone),
-               Field("budget", context.call.tokenBudget.value_or(0)), Field("policy", versionOf(context)),
-               Field("not_run", outcome.error().notRun()), Field("reason", outcome.error()));
+    m_log.info(
+        "Not served.", Field("call", context.call.id), Field("program", context.call.program),
+        Field("route", PublicText(routeName(context))), Field("endpoint", context.endpoint),
+        Field("sends", context.sends), Field("runs", context.runs), Field("events", context.events),
+        Field("took", took), Field("caller_gone", context.isCallerGone),
+        Field("budget", context.call.tokenBudget.value_or(0)), Field("policy", versionOf(context)),
+        Field("not_run", outcome.error().notRun()), Field("reason", outcome.error()));
 }
 
 } // namespace basilhall::gateway
--- a/basilhall/gateway/internal/route_choice.cpp
+++ b/basilhall/gateway/internal/route_choice.cpp
@@ -44,17 +44,17 @@
             return Error(ErrorKind::Unauthenticated, "the key is missing or unknown").withNotRun();
         }
     }
-    const Duration patience = std::min(call.timeLeft.value_or(context.route->timeout),
-                                       context.route->timeout);
+    const Duration patience =
+        std::min(call.timeLeft.value_or(context.route->timeout), context.route->timeout);
     if (patience <= Duration::zero()) {
         return Error(ErrorKind::DeadlineExceeded, "the time of the request is over").withNotRun();
     }
     context.deadline = context.arrivedAt + patience;
     context.work.service = chooseService(*context.route, call.id);
     context.work.prompt = call.prompt;
-    context.work.tokens =
-        call.promptTokens + std::min(call.expectedOutputTokens.value_or(call.mostOutputTokens),
-                                     call.mostOutputTokens);
+    context.work.tokens = call.promptTokens
+        + std::min(call.expectedOutputTokens.value_or(call.mostOutputTokens),
+                   call.mostOutputTokens);
     return success();
 }
 
@@ -89,8 +89,7 @@
 
 WallMillis keptMillis(const fleet::Route &route)
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(route.retention
-                                                                 + kRetentionMargin)
+    return std::chrono::duration_cast<std::chrono::milliseconds>(route.retention + kRetentionMargin)
         .count();
 }
 
--- a/basilhall/gateway/ledger_snapshot_test.cpp
+++ b/basilhall/gateway/ledger_snapshot_test.cpp
@@ -11,8 +11,9 @@
 namespace
 {
 
-const LedgerSnapshot kSnapshot{
-    Incarnation("a"), 7, {{Incarnation("a"), {ProgramId("p"), TeamName("t"), 100, 300}}}};
+const LedgerSnapshot kSnapshot{Incarnation("a"),
+                               7,
+                               {{Incarnation("a"), {ProgramId("p"), TeamName("t"), 100, 300}}}};
 const store::ObjectKey kKey{kLedgerKind, "a"};
 
 } // namespace
--- a/basilhall/gateway/membership.cpp
+++ b/basilhall/gateway/membership.cpp
@@ -126,7 +126,8 @@
 {
     d->hasLeft = true;
     d->timer.cancel();
-    d->access(store::Remove{d->key()}, [done = std::move(done)](const store::Outcome &) { done(); });
+    d->access(store::Remove{d->key()},
+              [done = std::move(done)](const store::Outcome &) { done(); });
 }
 
 void Membership::setAll(const std::vector<Member> &members)
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -61,6 +61,8 @@
     Instant heardAt = Instant::min();
     Instant listedAt = Instant::min();
     bool isConnected = false;
+    // It has been heard before.
+    bool wasConnected = false;
     // Turns of its journal up to this batch have been heard.
     std::uint64_t durableBatch = 0;
     // Its first update held all that was kept before.
@@ -73,8 +75,8 @@
 class PeerMesh::Private : public std::enable_shared_from_this<PeerMesh::Private>
 {
 public:
-    Private(const asio::any_io_executor &e, Member s, FleetState &st, TurnKeeper &k,
-            logging::Log l, PolicyHandler policyHandler, MemberHandler memberHandler)
+    Private(const asio::any_io_executor &e, Member s, FleetState &st, TurnKeeper &k, logging::Log l,
+            PolicyHandler policyHandler, MemberHandler memberHandler)
         : executor(e)
         , self(std::move(s))
         , state(st)
@@ -161,8 +163,7 @@
             co_return;
         }
         std::vector<journal::Record> records(request.records().begin(), request.records().end());
-        const Result<void> kept =
-            co_await self->keeper.keepFor(std::move(records), kRelayTimeout);
+        const Result<void> kept = co_await self->keeper.keepFor(std::move(records), kRelayTimeout);
         wire::KeepReply reply;
         reply.set_durable(kept.has_value());
         const Result<void> sent = co_await stream->send(reply.SerializeAsString());
@@ -197,8 +198,8 @@
         turn.budget = request.budget_tokens();
         turn.most = request.most_tokens();
         wire::AdmitReply reply;
-        reply.set_verdict(verdictOf(self->state.budgets().grant(
-            Incarnation(request.asker_incarnation()), turn, now())));
+        reply.set_verdict(verdictOf(
+            self->state.budgets().grant(Incarnation(request.asker_incarnation()), turn, now())));
         const Result<void> sent = co_await stream->send(reply.SerializeAsString());
         if (sent) {
             (void)co_await stream->finish();
@@ -214,7 +215,8 @@
             co_return;
         }
         wire::TurnReply reply;
-        reply.set_complete(self->keeper.knowsAllTurns());
+        reply.set_complete(self->keeper.knowsAllTurns() && self->isConnectedToAll());
+        reply.set_incarnation(self->self.incarnation.value());
         for (const turns::KeptTurn &turn :
              self->state.turns().chain(turns::TurnId(request.turn_id()))) {
             *reply.add_turns() = toRecord(turn);
@@ -287,8 +289,8 @@
         request.set_team(turn.team.value());
         request.set_budget_tokens(turn.budget);
         request.set_most_tokens(turn.most);
-        const auto message = co_await askOnce(peer->member.address, kAdmitMethod,
-                                              request.SerializeAsString());
+        const auto message =
+            co_await askOnce(peer->member.address, kAdmitMethod, request.SerializeAsString());
         wire::AdmitReply reply;
         if (!message || !reply.ParseFromString(*message)) {
             co_return Error(ErrorKind::Unavailable, "the program's home does not answer");
@@ -378,6 +380,16 @@
         updateShare();
     }
 
+    bool isConnectedToAll() const
+    {
+        for (const auto &[host, peer] : peers) {
+            if (!peer->isConnected) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     bool isHeard(const Peer &peer) const
     {
         return peer.isConnected && now() - peer.heardAt <= kHeardWithin;
@@ -471,8 +483,17 @@
                                   Field("peer", peer->member.host));
                 continue;
             }
+            if (update.incarnation() != peer->member.incarnation.value()) {
+                // Another process has the address; its registration is on the way.
+                break;
+            }
             if (!peer->isConnected) {
                 peer->isConnected = true;
+                if (peer->wasConnected || self->keeper.knowsAllTurns()) {
+                    // Turns that were announced without a connection were not heard.
+                    self->keeper.noteLostPeer(peer->member.incarnation, peer->durableBatch);
+                }
+                peer->wasConnected = true;
                 self->log.info("Hears a peer.", Field("peer", peer->member.host),
                                Field("incarnation", peer->member.incarnation));
             }
@@ -485,14 +506,14 @@
 
     asio::awaitable<bool> askToKeep(Address address, std::string request)
     {
-        auto stream = co_await client.open(address, kKeepMethod, std::move(request),
-                                           kConnectTimeout);
+        auto stream =
+            co_await client.open(address, kKeepMethod, std::move(request), kConnectTimeout);
         if (!stream) {
             co_return false;
         }
         const auto message = co_await stream.value()->next();
         wire::KeepReply reply;
-        co_return message && message.value() && reply.ParseFromString(*message.value())
+        co_return message &&message.value() && reply.ParseFromString(*message.value())
             && reply.durable();
     }
 
@@ -626,7 +647,9 @@
             message = co_await self->askOnce(peer->member.address, kTurnMethod, bytes);
         }
         wire::TurnReply reply;
-        if (!message || !reply.ParseFromString(*message)) {
+        // A process that has just started there knows nothing of what its predecessor kept.
+        if (!message || !reply.ParseFromString(*message)
+            || reply.incarnation() != peer->member.incarnation.value()) {
             haveAllAnswered = false;
             continue;
         }
@@ -646,12 +669,7 @@
 
 bool PeerMesh::isConnectedToAll() const
 {
-    for (const auto &[host, peer] : d->peers) {
-        if (!peer->isConnected) {
-            return false;
-        }
-    }
-    return true;
+    return d->isConnectedToAll();
 }
 
 bool PeerMesh::hasLoadedPeer() const
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -34,6 +34,8 @@
 constexpr Duration kRelayAfter = std::chrono::milliseconds(150);
 // Writes that fail for so long make new turns refused at once.
 constexpr Duration kNotKeepingAfter = std::chrono::milliseconds(600);
+// Pause before the first ledger is written again.
+constexpr Duration kLedgerRetry = std::chrono::milliseconds(200);
 // Pause after a peer could not help, before the next record tries one.
 constexpr Duration kRelayRetry = std::chrono::seconds(1);
 // The journals are read within seconds of a start; a turn comes up at any moment of it.
@@ -101,18 +103,26 @@
         ledger.write(encodeLedger(snapshot),
                      [weak = weak_from_this(), batch = snapshot.batch](bool isDurable) {
                          const auto self = weak.lock();
-                         if (self && isDurable) {
+                         if (!self) {
+                             return;
+                         }
+                         if (isDurable) {
                              self->ledgerBatch = batch;
                              self->hasLedger = true;
+                             self->noteStore(true, std::nullopt);
                              self->pump();
+                         } else if (!self->hasLedger) {
+                             self->noteStore(false,
+                                             Error(ErrorKind::StoreUnavailable,
+                                                   "the ledger cannot be written"));
+                             self->schedule(now() + kLedgerRetry);
                          }
                      });
     }
 
     void onOutcome(store::OperationId id, const store::Outcome &outcome)
     {
-        const bool isFailure =
-            !outcome && outcome.error().kind() == ErrorKind::StoreUnavailable;
+        const bool isFailure = !outcome && outcome.error().kind() == ErrorKind::StoreUnavailable;
         noteStore(!isFailure, outcome ? std::nullopt : std::optional(outcome.error()));
         writer.onOutcome(id, outcome, now());
         progress.notify();
@@ -123,8 +133,7 @@
     {
         if (reached) {
             if (failingSince) {
-                log.info("Object API takes records again.",
-                         Field("after", now() - *failingSince));
+                log.info("Object API takes records again.", Field("after", now() - *failingSince));
             }
             failingSince.reset();
         } else if (!failingSince) {
@@ -191,9 +200,8 @@
         return last;
     }
 
-    static asio::awaitable<Result<void>> write(std::shared_ptr<Private> self,
-                                               std::vector<journal::Record> records,
-                                               Duration timeout)
+    static asio::awaitable<Result<void>>
+    write(std::shared_ptr<Private> self, std::vector<journal::Record> records, Duration timeout)
     {
         const auto ticket = self->append(records);
         if (!ticket) {
@@ -203,9 +211,10 @@
         co_return co_await awaitDurable(self, ticket.value(), std::move(records), timeout);
     }
 
-    static asio::awaitable<Result<void>>
-    writeSpends(std::shared_ptr<Private> self, std::vector<journal::Record> records,
-                std::vector<turns::SpendReport> spends, Duration timeout)
+    static asio::awaitable<Result<void>> writeSpends(std::shared_ptr<Private> self,
+                                                     std::vector<journal::Record> records,
+                                                     std::vector<turns::SpendReport> spends,
+                                                     Duration timeout)
     {
         for (const turns::SpendReport &spend : spends) {
             *records.emplace_back().mutable_program_spend() = toRecord(self->state.self(), spend);
@@ -304,9 +313,8 @@
     }
 
     // Reads the batches of one journal after `heard`.
-    static asio::awaitable<Result<void>> readJournal(std::shared_ptr<Private> self,
-                                                     Incarnation incarnation,
-                                                     journal::BatchNumber heard)
+    static asio::awaitable<Result<void>>
+    readJournal(std::shared_ptr<Private> self, Incarnation incarnation, journal::BatchNumber heard)
     {
         store::List rest{journal::kJournalKind, incarnation.value() + ".",
                          journal::batchKey(incarnation, heard).name};
@@ -372,8 +380,8 @@
         co_return success();
     }
 
-    // Reads the journals of lost peers. One reading at a time; whoever comes while one runs waits for
-    // the next, which begins later than the asking.
+    // Reads the journals of lost peers. One reading at a time; whoever comes while one runs waits
+    // for the next, which begins later than the asking.
     static asio::awaitable<Result<void>> refresh(std::shared_ptr<Private> self)
     {
         const std::uint64_t wanted = self->refreshesBegun + 1;
@@ -425,8 +433,8 @@
     bool isLoaded = false;
 };
 
-TurnKeeper::TurnKeeper(const asio::any_io_executor &executor, StoreAccess access,
-                       FleetState &state, logging::Log log, metrics::Registry &registry)
+TurnKeeper::TurnKeeper(const asio::any_io_executor &executor, StoreAccess access, FleetState &state,
+                       logging::Log log, metrics::Registry &registry)
     : d(std::make_shared<Private>(executor, std::move(access), state, std::move(log), registry))
 {
 }
@@ -561,8 +569,7 @@
     if (made) {
         co_return made;
     }
-    if (self->state.turns().contains(previous)
-        && !self->state.turns().belongsTo(previous, team)) {
+    if (self->state.turns().contains(previous) && !self->state.turns().belongsTo(previous, team)) {
         co_return made;
     }
     TurnSearch search = TurnSearch::Unsure;
@@ -596,7 +603,8 @@
 
 void TurnKeeper::noteLostPeer(const Incarnation &peer, std::uint64_t heard)
 {
-    d->lostPeers.emplace(peer, heard);
+    const auto [at, isNew] = d->lostPeers.emplace(peer, heard);
+    at->second = std::min(at->second, heard);
 }
 
 std::uint64_t TurnKeeper::durableBatch() const
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -59,8 +59,8 @@
     void setRelay(Relay relay);
     void setAnnounce(Announce announce);
     void setSearchPeers(SearchPeers searchPeers);
-    // A peer is gone whose turns up to the batch `heard` of its journal were heard; the rest is read
-    // from its journal when it is needed.
+    // A peer is gone whose turns up to the batch `heard` of its journal were heard; the rest is
+    // read from its journal when it is needed.
     void noteLostPeer(const Incarnation &peer, std::uint64_t heard);
     // Number of the last own batch that is durable.
     std::uint64_t durableBatch() const;
--- a/basilhall/http/internal/client_response.h
+++ b/basilhall/http/internal/client_response.h
@@ -24,8 +24,8 @@
     // Reads the next part of the body under the deadline of the connection.
     boost::asio::awaitable<Result<std::optional<std::string>>> readPart();
     ClientConnection &connection() { return *m_connection; }
-    // Reads the rest of this answer and makes ready for the next one on the connection. EndpointFailed
-    // if the connection ends with it.
+    // Reads the rest of this answer and makes ready for the next one on the connection.
+    // EndpointFailed if the connection ends with it.
     boost::asio::awaitable<Result<void>> skip();
     // Gives a connection that has carried its whole answer back to the pool, closes it otherwise.
     void finish();
--- a/basilhall/limit/shared_rate.h
+++ b/basilhall/limit/shared_rate.h
@@ -23,8 +23,8 @@
     // Starts with nothing and refills: what was admitted before is not known.
     SharedRate(const Rate &rate, Instant now);
 
-    // Takes one request; false if the limit is reached, or if less than `reserve` of the burst (0 to
-    // 1) would be left.
+    // Takes one request; false if the limit is reached, or if less than `reserve` of the burst (0
+    // to 1) would be left.
     bool admit(Instant now, double reserve = 0);
     // A request that was admitted has not run.
     void giveBack(Instant now);
--- a/basilhall/placement/placement.h
+++ b/basilhall/placement/placement.h
@@ -1,8 +1,8 @@
 // Chooses the endpoint that most likely ends a request first.
 //
 // Engines: the time to read what is not cached there, the slowdown by what runs, and the wait for a
-// slot. Plain services: the wait for a slot. Load is counted from what all gateways have sent, which
-// is fresher than what endpoints report.
+// slot. Plain services: the wait for a slot. Load is counted from what all gateways have sent,
+// which is fresher than what endpoints report.
 //
 //     Placement placement(domain);
 //     placement.setEndpoint(endpoint, service.engine);
@@ -34,7 +34,8 @@
     explicit Placement(FailureDomain domain);
 
     // Adds or changes an endpoint; a later start under the same name forgets its cache.
-    void setEndpoint(const fleet::Endpoint &endpoint, const std::optional<fleet::EngineTraits> &engine);
+    void setEndpoint(const fleet::Endpoint &endpoint,
+                     const std::optional<fleet::EngineTraits> &engine);
     void removeEndpoint(const EndpointName &name);
     // The endpoint gets nothing until then.
     void suspend(const EndpointName &name, Instant until);
--- a/basilhall/settings/internal/settings_reader.cpp
+++ b/basilhall/settings/internal/settings_reader.cpp
@@ -43,8 +43,8 @@
 std::string ownersOf(const KeySpec &spec)
 {
     std::string owners;
-    for (const ProcessKind kind : {ProcessKind::Entry, ProcessKind::Agent, ProcessKind::Gateway,
-                                   ProcessKind::Steward}) {
+    for (const ProcessKind kind :
+         {ProcessKind::Entry, ProcessKind::Agent, ProcessKind::Gateway, ProcessKind::Steward}) {
         if (knows(kind, spec)) {
             owners += (owners.empty() ? "" : ", ") + std::string(toString(kind));
         }
@@ -166,8 +166,9 @@
             continue;
         }
         place.table->ignore(place.key);
-        place.table->addFault(place.key, "is no key of " + std::string(toString(m_kind))
-                                             + " settings, but of " + ownersOf(spec));
+        place.table->addFault(place.key,
+                              "is no key of " + std::string(toString(m_kind)) + " settings, but of "
+                                  + ownersOf(spec));
     }
     m_root.reportUnknownKeys();
     if (m_log) {
--- a/basilhall/settings/key_table.cpp
+++ b/basilhall/settings/key_table.cpp
@@ -17,8 +17,8 @@
 }
 
 constexpr std::array kTable{
-    KeySpec{"process", KeyScope::All, KeyType::Choice, "", "`entry`, `agent`, `gateway`, `steward`", "", true,
-            "Kind of process that the file is for."},
+    KeySpec{"process", KeyScope::All, KeyType::Choice, "", "`entry`, `agent`, `gateway`, `steward`",
+            "", true, "Kind of process that the file is for."},
     KeySpec{"host", KeyScope::All, KeyType::Name, "", "1 to 63 letters, digits, `-`, `_` and `.`",
             "", true, "Name of the host, as the manifest and the host list have it."},
     KeySpec{"failure_domain", KeyScope::All, KeyType::Name, "",
@@ -48,11 +48,12 @@
             nanoseconds(1ms), nanoseconds(10s)},
     KeySpec{"ready_listen", KeyScope::Gateway, KeyType::Address, "", "", "", true,
             "Where the platform asks whether the host takes callers."},
-    KeySpec{"shutdown_grace", KeyScope::Gateway, KeyType::Duration, "duration", "1 s to 10 min",
-            "\"8 s\"", false,
-            "Time from SIGTERM until the platform kills the process. Requests that still run shortly "
-            "before its end are cut.",
-            nanoseconds(1s), nanoseconds(10min)},
+    KeySpec{
+        "shutdown_grace", KeyScope::Gateway, KeyType::Duration, "duration", "1 s to 10 min",
+        "\"8 s\"", false,
+        "Time from SIGTERM until the platform kills the process. Requests that still run shortly "
+        "before its end are cut.",
+        nanoseconds(1s), nanoseconds(10min)},
     KeySpec{"endpoint", KeyScope::Agent, KeyType::Name, "",
             "1 to 63 letters, digits, `-`, `_` and `.`", "", true,
             "Name of the endpoint, as the manifest has it."},
@@ -71,7 +72,8 @@
     KeySpec{"log.format", KeyScope::All, KeyType::Choice, "", "`text`, `json`", "\"text\"", false,
             "Sentences with key=value fields, or one JSON object a line."},
     KeySpec{"log.file", KeyScope::All, KeyType::Path, "", "", "", false,
-            "File of the log; 10 MiB, rolled 5 times. Without it, the log goes to standard output; lines are dropped and counted while it does not drain."},
+            "File of the log; 10 MiB, rolled 5 times. Without it, the log goes to standard output; "
+            "lines are dropped and counted while it does not drain."},
 };
 
 } // namespace
--- a/basilhall/settings/settings_test.cpp
+++ b/basilhall/settings/settings_test.cpp
@@ -115,10 +115,11 @@
     BOOST_TEST(hasFault(replaced(kEntry, "127.0.0.1:6443", "127.0.0.1:0"),
                         "s.toml:7:14: object_api: must not have port 0"));
     BOOST_TEST(hasFault(kEntry + "capacity = 3\n",
-                        "s.toml:8:12: capacity: is a key of agent settings alone"));
+                        "s.toml:8:12: capacity: is no key of entry settings, but of agent"));
     BOOST_TEST(parse("s.toml", kEntry + "capacity = 3\n").faults.size() == 1U);
-    BOOST_TEST(hasFault(replaced(kEntry, "\"entry\"", "\"oven\""),
-                        "s.toml:1:11: process: must be one of `entry`, `agent`"));
+    BOOST_TEST(
+        hasFault(replaced(kEntry, "\"entry\"", "\"oven\""),
+                 "s.toml:1:11: process: must be one of `entry`, `agent`, `gateway`, `steward`"));
 }
 
 BOOST_AUTO_TEST_CASE(settingsAreToldFromManifests)
--- a/basilhall/turns/budget_ledger.cpp
+++ b/basilhall/turns/budget_ledger.cpp
@@ -261,9 +261,8 @@
 
 void BudgetLedger::expire(Instant before)
 {
-    std::erase_if(m_programs, [before](const auto &entry) {
-        return entry.second.changed < before;
-    });
+    std::erase_if(m_programs,
+                  [before](const auto &entry) { return entry.second.changed < before; });
 }
 
 std::uint64_t BudgetLedger::spent(const ProgramId &program) const
