--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -42,6 +42,12 @@
 constexpr Duration kKillMargin = std::chrono::milliseconds(700);
 constexpr Duration kDrainCheck = std::chrono::milliseconds(50);
 
+Member memberOf(const settings::GatewaySettings &settings, const Incarnation &incarnation)
+{
+    return {settings.host, incarnation, settings.peerListen, settings.failureDomain,
+            settings.processorMillis};
+}
+
 http::ServerLimits serverLimits(const fleet::IngressLimits &limits)
 {
     http::ServerLimits made;
@@ -68,12 +74,10 @@
         , keeper(e, access, state, logs.log("turns"), registry)
         , callLog(logs.log("call"), registry)
         , mesh(
-              e, {settings.host, incarnation, settings.peerListen}, state, keeper,
-              logs.log("peers"),
+              e, memberOf(settings, incarnation), state, keeper, logs.log("peers"),
               [this](const PolicyDocument &document) { takePolicy(document, "peer"); },
               [this](const Member &member) { membership.meet(member); })
-        , membership(e, {settings.host, incarnation, settings.peerListen}, std::move(access), mesh,
-                     logs.log("peers"))
+        , membership(e, memberOf(settings, incarnation), std::move(access), mesh, logs.log("peers"))
         , readyServer(e, settings.readyListen, {},
                       [this](std::shared_ptr<http::Exchange> exchange) {
                           return answerReady(std::move(exchange));
@@ -82,6 +86,9 @@
         keeper.setRelay([this](std::vector<journal::Record> records) {
             return mesh.relay(std::move(records));
         });
+        keeper.setCommit([this](std::vector<journal::Record> records) {
+            return mesh.commit(std::move(records));
+        });
         keeper.setSearchPeers([this](turns::TurnId id) { return mesh.findTurn(std::move(id)); });
         keeper.setAnnounce([this](const journal::TurnKept &turn) { mesh.announce(turn); });
     }
@@ -183,7 +190,9 @@
             }
             if (now() >= nextHousekeeping) {
                 nextHousekeeping = now() + kHousekeepingInterval;
-                self->keeper.expire();
+                self->keeper.expire(self->mesh.rank() == 0
+                                        ? std::optional(self->mesh.liveIncarnations())
+                                        : std::nullopt);
                 self->membership.removeSilent();
             }
             timer.expires_after(PeerMesh::kBeat);
--- a/basilhall/gateway/member.cpp
+++ b/basilhall/gateway/member.cpp
@@ -12,6 +12,8 @@
     message.set_host(member.host.value());
     message.set_incarnation(member.incarnation.value());
     message.set_address(toString(member.address));
+    message.set_failure_domain(member.failureDomain.value());
+    message.set_processor_millis(member.processorMillis);
     return message;
 }
 
@@ -21,7 +23,8 @@
     if (!address || message.host().empty()) {
         return Error(ErrorKind::Corrupt, "member \"" + message.host() + "\" has no address");
     }
-    return Member{HostName(message.host()), Incarnation(message.incarnation()), address.value()};
+    return Member{HostName(message.host()), Incarnation(message.incarnation()), address.value(),
+                  FailureDomain(message.failure_domain()), message.processor_millis()};
 }
 
 std::string encodeMember(const Member &member)
--- a/basilhall/gateway/member.h
+++ b/basilhall/gateway/member.h
@@ -7,6 +7,7 @@
 #include "basilhall/store/object_key.h"
 
 #include <compare>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -27,6 +28,9 @@
     Incarnation incarnation;
     // Where peers connect.
     Address address;
+    FailureDomain failureDomain;
+    // Thousandths of a core that it may use.
+    std::uint32_t processorMillis = 0;
 
     auto operator<=>(const Member &) const = default;
 };
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -40,10 +40,22 @@
 constexpr Duration kRelayTimeout = std::chrono::milliseconds(800);
 // Messages that wait for a slow subscriber; beyond that its stream is reset and begins anew.
 constexpr std::size_t kMaxQueued = 2000;
+// Processor that a gateway needs to write the journal of a large fleet besides its own work:
+// reckoned for 200 records and 1 MB a second at 0.2 ms a record, doubled.
+constexpr std::uint32_t kStrongMillis = 300;
 // Times out within two beats of PING; see KeepAlive.
 const transport::KeepAlive kKeepAlive{std::chrono::milliseconds(700),
                                       std::chrono::milliseconds(2100)};
 
+std::string keepRequest(std::vector<journal::Record> records)
+{
+    wire::KeepRequest request;
+    for (journal::Record &record : records) {
+        *request.add_records() = std::move(record);
+    }
+    return request.SerializeAsString();
+}
+
 // One peer that wants the updates of this process.
 struct Subscriber {
     explicit Subscriber(const asio::any_io_executor &executor)
@@ -506,15 +518,32 @@
 
     asio::awaitable<bool> askToKeep(Address address, std::string request)
     {
-        auto stream =
-            co_await client.open(address, kKeepMethod, std::move(request), kConnectTimeout);
-        if (!stream) {
-            co_return false;
-        }
-        const auto message = co_await stream.value()->next();
+        const auto message = co_await askOnce(std::move(address), kKeepMethod, std::move(request));
         wire::KeepReply reply;
-        co_return message &&message.value() && reply.ParseFromString(*message.value())
-            && reply.durable();
+        co_return message &&reply.ParseFromString(*message) && reply.durable();
+    }
+
+    // Who writes the journal: the strongest gateway for all if it is strong enough, else one for
+    // each failure domain. nullptr if it is this one.
+    std::shared_ptr<Peer> committer() const
+    {
+        std::shared_ptr<Peer> best;
+        Member strongest = self;
+        for (const auto &[host, peer] : peers) {
+            const bool isNear = peer->member.failureDomain == self.failureDomain;
+            const bool mayWrite = isNear || peer->member.processorMillis >= kStrongMillis;
+            if (isHeard(*peer) && mayWrite && isBefore(peer->member, strongest)) {
+                best = peer;
+                strongest = peer->member;
+            }
+        }
+        return best;
+    }
+
+    static bool isBefore(const Member &a, const Member &b)
+    {
+        return a.processorMillis != b.processorMillis ? a.processorMillis > b.processorMillis
+                                                      : a.host < b.host;
     }
 
     asio::any_io_executor executor;
@@ -599,6 +628,15 @@
     return before;
 }
 
+std::set<Incarnation> PeerMesh::liveIncarnations() const
+{
+    std::set<Incarnation> live{d->self.incarnation};
+    for (const auto &[host, peer] : d->peers) {
+        live.insert(peer->member.incarnation);
+    }
+    return live;
+}
+
 std::size_t PeerMesh::heardCount() const
 {
     std::size_t heard = 0;
@@ -682,14 +720,20 @@
     return false;
 }
 
-asio::awaitable<bool> PeerMesh::relay(std::vector<journal::Record> records)
+asio::awaitable<bool> PeerMesh::commit(std::vector<journal::Record> records)
 {
     const auto self = d;
-    wire::KeepRequest request;
-    for (journal::Record &record : records) {
-        *request.add_records() = std::move(record);
+    const std::shared_ptr<Peer> committer = self->committer();
+    if (!committer) {
+        co_return false;
     }
-    const std::string bytes = request.SerializeAsString();
+    co_return co_await self->askToKeep(committer->member.address, keepRequest(std::move(records)));
+}
+
+asio::awaitable<bool> PeerMesh::relay(std::vector<journal::Record> records)
+{
+    const auto self = d;
+    const std::string bytes = keepRequest(std::move(records));
     std::vector<Address> addresses;
     for (const auto &[host, peer] : self->peers) {
         if (self->isHeard(*peer)) {
--- a/basilhall/gateway/peer_mesh.h
+++ b/basilhall/gateway/peer_mesh.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,8 @@
     // Number of members whose name comes before the own one.
     std::size_t rank() const;
     std::size_t heardCount() const;
+    // Of all members and this one.
+    std::set<Incarnation> liveIncarnations() const;
 
     // Sends a turn to all subscribers at once.
     void announce(const journal::TurnKept &turn);
@@ -73,6 +76,9 @@
     bool isConnectedToAll() const;
     // True if a heard member has told all that was kept before.
     bool hasLoadedPeer() const;
+    // Asks the gateway that writes for the failure domain to keep the records, if it is not this
+    // one.
+    boost::asio::awaitable<bool> commit(std::vector<journal::Record> records);
     // Asks the heard members one after the other to keep the records.
     boost::asio::awaitable<bool> relay(std::vector<journal::Record> records);
 
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -1,6 +1,7 @@
 #include "basilhall/gateway/turn_keeper.h"
 
 #include "basilhall/base/monotonic_clock.h"
+#include "basilhall/gateway/journal_janitor.h"
 #include "basilhall/gateway/ledger_snapshot.h"
 #include "basilhall/gateway/record_codec.h"
 #include "basilhall/gateway/snapshot_writer.h"
@@ -34,6 +35,11 @@
 constexpr Duration kRelayAfter = std::chrono::milliseconds(150);
 // Writes that fail for so long make new turns refused at once.
 constexpr Duration kNotKeepingAfter = std::chrono::milliseconds(600);
+// A program whose budget is spent may come back for as long as turns are kept; the users' routes
+// keep them for 60 s.
+constexpr WallMillis kSpendingKeptMillis = 120'000;
+// Objects removed a second, so that a clean-up takes few of the store's writes.
+constexpr std::size_t kRemovalsPerRound = 20;
 // Pause before the first ledger is written again.
 constexpr Duration kLedgerRetry = std::chrono::milliseconds(200);
 // Pause after a peer could not help, before the next record tries one.
@@ -120,11 +126,39 @@
                      });
     }
 
+    // A turn that was appended while the batch was written stands in the next one and counts for
+    // both.
+    void noteBatch()
+    {
+        BatchContent content{std::max(lastKeptUntil, spendingKeptUntil()), std::move(earlierTurns)};
+        content.turns.insert(content.turns.end(), appendedTurns.begin(), appendedTurns.end());
+        earlierTurns = std::exchange(appendedTurns, {});
+        ownObjects.onBatch(state.self(), writer.durableNumber(), std::move(content));
+    }
+
+    // Objects that cannot be removed now are found again by the next start.
+    void remove(const std::vector<store::ObjectKey> &keys)
+    {
+        for (const store::ObjectKey &key : keys) {
+            access(store::Remove{key}, [weak = weak_from_this()](const store::Outcome &outcome) {
+                const auto self = weak.lock();
+                if (self && !outcome && outcome.error().kind() != ErrorKind::NotFound) {
+                    self->log.info("An object whose time is over stays.",
+                                   Field("reason", outcome.error()));
+                }
+            });
+        }
+    }
+
     void onOutcome(store::OperationId id, const store::Outcome &outcome)
     {
         const bool isFailure = !outcome && outcome.error().kind() == ErrorKind::StoreUnavailable;
         noteStore(!isFailure, outcome ? std::nullopt : std::optional(outcome.error()));
+        const journal::BatchNumber before = writer.durableNumber();
         writer.onOutcome(id, outcome, now());
+        if (writer.durableNumber() > before) {
+            noteBatch();
+        }
         progress.notify();
         pump();
     }
@@ -196,6 +230,10 @@
         journal::Ticket last = 0;
         for (const journal::Record &record : records) {
             BOOST_OUTCOME_TRY(last, writer.append(record, now()));
+            if (record.has_turn_kept()) {
+                lastKeptUntil = std::max(lastKeptUntil, record.turn_kept().kept_until_wall_ms());
+                appendedTurns.emplace_back(record.turn_kept().turn_id());
+            }
         }
         return last;
     }
@@ -275,14 +313,20 @@
             log.warning("Skipped a journal batch.", Field("reason", batch.error()));
             return;
         }
+        BatchContent content{spendingKeptUntil(), {}};
         for (const journal::Record &record : batch.value().records()) {
             if (record.has_turn_kept()) {
+                content.keptUntil =
+                    std::max(content.keptUntil, record.turn_kept().kept_until_wall_ms());
+                content.turns.emplace_back(record.turn_kept().turn_id());
                 learn(record.turn_kept());
             } else if (record.has_program_spend()) {
                 state.budgets().onJournalReport(Incarnation(record.program_spend().incarnation()),
                                                 fromRecord(record.program_spend()), now());
             }
         }
+        goneObjects.onBatch(Incarnation(batch.value().incarnation()), batch.value().number(),
+                            std::move(content));
     }
 
     void learn(const journal::TurnKept &turn)
@@ -306,6 +350,7 @@
             if (!snapshot) {
                 self->log.error("Skipped a ledger.", Field("reason", snapshot.error()));
             } else if (snapshot.value().incarnation != self->state.self()) {
+                self->goneObjects.onLedger(snapshot.value().incarnation, spendingKeptUntil());
                 snapshots.push_back(std::move(snapshot).value());
             }
         }
@@ -399,6 +444,11 @@
         co_return self->lastRefresh;
     }
 
+    static WallMillis spendingKeptUntil()
+    {
+        return MonotonicClock().wallMillis() + kSpendingKeptMillis;
+    }
+
     bool knowsAllTurns() const { return hasRead && lostPeers.empty(); }
 
     asio::any_io_executor executor;
@@ -413,12 +463,20 @@
     bool hasLedger = false;
     // Batch of the last ledger that is durable.
     journal::BatchNumber ledgerBatch = 0;
+    JournalJanitor ownObjects{state.turns()};
+    JournalJanitor goneObjects{state.turns()};
+    // Turns appended since the last batch became durable, and between that and the one before.
+    std::vector<turns::TurnId> appendedTurns;
+    std::vector<turns::TurnId> earlierTurns;
+    // Latest time until which a turn of this journal is kept.
+    WallMillis lastKeptUntil = 0;
     // Incarnations whose records stand in this journal because they could not write them.
     std::set<Incarnation> relayedFor;
     transport::Signal progress;
     asio::steady_timer wake;
     std::optional<Instant> failingSince;
     Relay relay;
+    Relay commit;
     std::optional<Instant> relayFailedAt;
     Announce announce;
     std::uint64_t refreshesBegun = 0;
@@ -449,6 +507,11 @@
     d->relay = std::move(relay);
 }
 
+void TurnKeeper::setCommit(Relay commit)
+{
+    d->commit = std::move(commit);
+}
+
 void TurnKeeper::setAnnounce(Announce announce)
 {
     d->announce = std::move(announce);
@@ -536,7 +599,13 @@
     const auto self = d;
     for (const journal::Record &record : records) {
         if (record.has_program_spend()) {
-            self->relayedFor.emplace(record.program_spend().incarnation());
+            // Before the ledger next says that it counts the batch with the record.
+            const Incarnation spender(record.program_spend().incarnation());
+            self->relayedFor.insert(spender);
+            self->state.budgets().onJournalReport(spender, fromRecord(record.program_spend()),
+                                                  Private::now());
+        } else if (record.has_turn_kept()) {
+            self->learn(record.turn_kept());
         }
     }
     const auto ticket = self->append(records);
@@ -641,9 +710,14 @@
     d->learn(turn);
 }
 
-void TurnKeeper::expire()
+void TurnKeeper::expire(const std::optional<std::set<Incarnation>> &live)
 {
-    d->state.turns().expire(MonotonicClock().wallMillis());
+    const WallMillis wallNow = MonotonicClock().wallMillis();
+    d->state.turns().expire(wallNow);
+    d->remove(d->ownObjects.expired(wallNow, {}, kRemovalsPerRound));
+    if (live) {
+        d->remove(d->goneObjects.expired(wallNow, *live, kRemovalsPerRound));
+    }
     d->state.budgets().expire(Private::now() - kProgramMemory);
 }
 
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -16,6 +16,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,6 +59,9 @@
     TurnKeeper &operator=(const TurnKeeper &) = delete;
 
     void setRelay(Relay relay);
+    // `commit` hands records to the one gateway that writes for several; false if this one does, or
+    // if the other did not do it in time.
+    void setCommit(Relay commit);
     void setAnnounce(Announce announce);
     void setSearchPeers(SearchPeers searchPeers);
     // A peer is gone whose turns up to the batch `heard` of its journal were heard; the rest is
@@ -101,8 +106,9 @@
     bool isKeeping() const;
     // Takes a record that a peer announced or a journal holds.
     void learn(const journal::TurnKept &turn);
-    // Drops what is no longer kept.
-    void expire();
+    // Drops what is no longer kept, also from the object API. One gateway, which passes those that
+    // live, cleans up after those that are gone; the others pass nothing.
+    void expire(const std::optional<std::set<Incarnation>> &live);
     // True if nothing waits to become durable.
     bool isIdle() const;
 
--- a/basilhall/settings/gateway_settings.h
+++ b/basilhall/settings/gateway_settings.h
@@ -7,6 +7,7 @@
 #include "basilhall/logging/log_settings.h"
 
 #include <compare>
+#include <cstdint>
 
 namespace basilhall::settings
 {
@@ -22,6 +23,8 @@
     Address operatorListen;
     Address objectApi;
     Duration shutdownGrace{};
+    // Thousandths of a core.
+    std::uint32_t processorMillis = 0;
     logging::LogSettings log;
 
     auto operator<=>(const GatewaySettings &) const = default;
--- a/basilhall/settings/internal/settings_reader.cpp
+++ b/basilhall/settings/internal/settings_reader.cpp
@@ -4,6 +4,7 @@
 #include "basilhall/manifest/name.h"
 
 #include <charconv>
+#include <cstdlib>
 #include <stdexcept>
 
 namespace basilhall::settings::internal
@@ -134,6 +135,14 @@
     return place.table->boolean(place.key).value_or(spec.fallback == "true");
 }
 
+double SettingsReader::number(std::string_view key, double least, double most)
+{
+    const KeySpec &spec = specOf(key);
+    const Place place = require(spec);
+    const double fallback = std::strtod(std::string(spec.fallback).c_str(), nullptr);
+    return place.table->number(place.key, least, most).value_or(fallback);
+}
+
 Duration SettingsReader::duration(std::string_view key)
 {
     const KeySpec &spec = specOf(key);
--- a/basilhall/settings/internal/settings_reader.h
+++ b/basilhall/settings/internal/settings_reader.h
@@ -24,6 +24,8 @@
     std::optional<Address> optionalAddress(std::string_view key);
     std::uint32_t count(std::string_view key);
     bool flag(std::string_view key);
+    // Within both bounds.
+    double number(std::string_view key, double least, double most);
     Duration duration(std::string_view key);
     // Returns the text; adds a fault if it is not among the choices of the table.
     std::string choice(std::string_view key);
--- a/basilhall/settings/key_spec.h
+++ b/basilhall/settings/key_spec.h
@@ -18,6 +18,8 @@
     Address,
     Count,
     Flag,
+    // A decimal number.
+    Number,
     // A string with a unit.
     Duration,
     Choice,
--- a/basilhall/settings/key_table.cpp
+++ b/basilhall/settings/key_table.cpp
@@ -48,6 +48,10 @@
             nanoseconds(1ms), nanoseconds(10s)},
     KeySpec{"ready_listen", KeyScope::Gateway, KeyType::Address, "", "", "", true,
             "Where the platform asks whether the host takes callers."},
+    KeySpec{"processor_share", KeyScope::Gateway, KeyType::Number, "cores", "0.001 to 1024", "1",
+            false,
+            "Part of a core that the process may use. The gateway with the most writes the journal "
+            "for the others, if it has enough."},
     KeySpec{
         "shutdown_grace", KeyScope::Gateway, KeyType::Duration, "duration", "1 s to 10 min",
         "\"8 s\"", false,
--- a/basilhall/settings/parser.cpp
+++ b/basilhall/settings/parser.cpp
@@ -3,6 +3,7 @@
 #include "basilhall/config/document.h"
 #include "basilhall/settings/internal/settings_reader.h"
 
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -110,6 +111,10 @@
     gateway.operatorListen = reader.address("operator_listen");
     gateway.objectApi = reader.address("object_api");
     gateway.shutdownGrace = reader.duration("shutdown_grace");
+    constexpr double kLeastCores = 0.001;
+    constexpr double kMostCores = 1024;
+    gateway.processorMillis = static_cast<std::uint32_t>(
+        std::lround(1000 * reader.number("processor_share", kLeastCores, kMostCores)));
     gateway.log = readLog(reader);
     checkDistinct({{"listen", gateway.listen},
                    {"ready_listen", gateway.readyListen},
--- a/basilhall/settings/reference_page.cpp
+++ b/basilhall/settings/reference_page.cpp
@@ -31,6 +31,8 @@
         return "address";
     case KeyType::Count:
         return "integer";
+    case KeyType::Number:
+        return "number";
     case KeyType::Flag:
         return "boolean";
     case KeyType::Duration:
