--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -26,7 +26,7 @@
 constexpr Duration kPeerWait = std::chrono::milliseconds(400);
 // Time to connect to all registered peers before any program gets a new home here; a registration
 // may be that of a host that is gone.
-constexpr Duration kMeetWait = std::chrono::seconds(2);
+constexpr Duration kMeetWait = std::chrono::seconds(3);
 constexpr Duration kPeerCheck = std::chrono::milliseconds(20);
 // Pause between tries to read the journals while peers answer for them.
 constexpr Duration kBackgroundRetry = std::chrono::seconds(2);
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -43,6 +43,8 @@
 // Processor that a gateway needs to write the journal of a large fleet besides its own work:
 // reckoned for 200 records and 1 MB a second at 0.2 ms a record, doubled.
 constexpr std::uint32_t kStrongMillis = 300;
+// Peers that a starting gateway asks for the whole ledger: one may be starting itself.
+constexpr std::size_t kLedgerRequests = 4;
 // Times out within two beats of PING; see KeepAlive.
 const transport::KeepAlive kKeepAlive{std::chrono::milliseconds(700),
                                       std::chrono::milliseconds(2100)};
@@ -150,7 +152,7 @@
             }
         });
         self->subscribers.insert(subscriber);
-        subscriber->queue.push_back(self->firstUpdate());
+        subscriber->queue.push_back(self->firstUpdate(request.wants_ledger()));
         while (!subscriber->isGone) {
             if (subscriber->queue.empty()) {
                 co_await subscriber->wake.wait();
@@ -325,12 +327,15 @@
         return update;
     }
 
-    std::shared_ptr<const std::string> firstUpdate() const
+    // With `isWhole`, holds the ledger of all incarnations if this process knows it.
+    std::shared_ptr<const std::string> firstUpdate(bool isWhole) const
     {
         wire::Update update = newUpdate();
-        update.set_loaded(keeper.isLoaded());
+        update.set_loaded(isWhole && keeper.isLoaded());
         for (const auto &[incarnation, report] : state.budgets().allReports()) {
-            addSpend(update, incarnation, report);
+            if (isWhole || incarnation == self.incarnation) {
+                addSpend(update, incarnation, report);
+            }
         }
         if (policy.version > 0) {
             update.mutable_policy()->set_version(policy.version);
@@ -459,9 +464,10 @@
     static asio::awaitable<void> follow(std::shared_ptr<Private> self, std::shared_ptr<Peer> peer)
     {
         asio::steady_timer pause(self->executor);
-        wire::Subscribe request;
-        *request.mutable_member() = toWire(self->self);
         while (!peer->isDropped && !self->isClosed) {
+            wire::Subscribe request;
+            *request.mutable_member() = toWire(self->self);
+            request.set_wants_ledger(self->takeLedgerRequest());
             auto stream = co_await self->client.open(peer->member.address, kUpdatesMethod,
                                                      request.SerializeAsString(), kConnectTimeout);
             if (stream) {
@@ -480,6 +486,9 @@
         }
     }
 
+    // True for a few peers while the process does not know what was spent: each ledger is large.
+    bool takeLedgerRequest() { return !keeper.isLoaded() && ledgerRequests++ < kLedgerRequests; }
+
     static asio::awaitable<void> readUpdates(std::shared_ptr<Private> self,
                                              std::shared_ptr<Peer> peer,
                                              transport::ClientStream &stream)
@@ -558,6 +567,7 @@
     std::map<HostName, std::shared_ptr<Peer>> peers;
     std::unordered_set<std::shared_ptr<Subscriber>> subscribers;
     PolicyDocument policy;
+    std::size_t ledgerRequests = 0;
     bool isClosed = false;
 };
 
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -24,7 +24,6 @@
 
 namespace asio = boost::asio;
 using logging::Field;
-using logging::PublicText;
 
 namespace
 {
