--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "basilhall/gateway/gateway.h"
 
 #include "basilhall/base/monotonic_clock.h"
+#include "basilhall/gateway/journal_reader.h"
 #include "basilhall/gateway/membership.h"
 #include "basilhall/gateway/peer_mesh.h"
 #include "basilhall/logging/log_system.h"
@@ -139,7 +140,7 @@
         }
         bool isLogged = false;
         while (!self->mesh.hasLoadedPeer()) {
-            const Result<void> done = co_await self->keeper.loadLedgers();
+            const Result<void> done = co_await self->keeper.reader().loadLedgers();
             if (done) {
                 break;
             }
@@ -158,10 +159,10 @@
                        Field("programs", self->state.budgets().size()),
                        Field("from_peer", self->mesh.hasLoadedPeer()),
                        Field("after", now() - begun));
-        while (!self->keeper.knowsAllTurns() && !self->isStopped) {
+        while (!self->keeper.reader().knowsAllTurns() && !self->isStopped) {
             // Peers may forget turns of before when they restart in turn.
-            const Result<void> done =
-                co_await self->keeper.loadTurns(self->mesh.rank(), self->mesh.memberCount() + 1);
+            const Result<void> done = co_await self->keeper.reader().loadTurns(
+                self->mesh.rank(), self->mesh.memberCount() + 1);
             pause.expires_after(done ? Duration::zero() : kBackgroundRetry);
             (void)co_await pause.async_wait(kTuple);
         }
--- /dev/null
+++ b/basilhall/gateway/internal/peer_requests.cpp
@@ -0,0 +1,109 @@
+#include "basilhall/gateway/internal/peer_requests.h"
+
+#include "basilhall/base/monotonic_clock.h"
+#include "basilhall/gateway/gateway.pb.h"
+#include "basilhall/gateway/journal_reader.h"
+#include "basilhall/gateway/record_codec.h"
+#include "basilhall/transport/server_stream.h"
+
+namespace basilhall::gateway
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+// Time to make a peer's records durable; the object API answers within a few milliseconds.
+constexpr Duration kKeepTimeout = std::chrono::milliseconds(800);
+
+wire::AdmitVerdict verdictOf(turns::Admission admission)
+{
+    switch (admission) {
+    case turns::Admission::Admitted:
+        return wire::ADMIT_VERDICT_ADMITTED;
+    case turns::Admission::Exhausted:
+        return wire::ADMIT_VERDICT_EXHAUSTED;
+    default:
+        return wire::ADMIT_VERDICT_ELSEWHERE;
+    }
+}
+
+} // namespace
+
+PeerRequests::PeerRequests(FleetState &state, TurnKeeper &keeper, logging::Log log,
+                           std::function<bool()> isConnectedToAll)
+    : m_state(state)
+    , m_keeper(keeper)
+    , m_log(std::move(log))
+    , m_isConnectedToAll(std::move(isConnectedToAll))
+{
+}
+
+asio::awaitable<void> PeerRequests::serve(std::shared_ptr<transport::ServerStream> stream)
+{
+    std::string reply;
+    if (stream->method() == kKeepMethod) {
+        reply = co_await keep(stream->request());
+    } else if (stream->method() == kAdmitMethod) {
+        reply = admit(stream->request());
+    } else if (stream->method() == kTurnMethod) {
+        reply = turn(stream->request());
+    }
+    if (reply.empty()) {
+        m_log.warning("Dropped a malformed request of a peer.");
+        co_return;
+    }
+    const Result<void> sent = co_await stream->send(std::move(reply));
+    if (sent) {
+        (void)co_await stream->finish();
+    }
+}
+
+asio::awaitable<std::string> PeerRequests::keep(std::string request)
+{
+    wire::KeepRequest message;
+    if (!message.ParseFromString(request)) {
+        co_return std::string();
+    }
+    std::vector<journal::Record> records(message.records().begin(), message.records().end());
+    const Result<void> kept = co_await m_keeper.keepFor(std::move(records), kKeepTimeout);
+    wire::KeepReply reply;
+    reply.set_durable(kept.has_value());
+    reply.set_incarnation(m_state.self().value());
+    co_return reply.SerializeAsString();
+}
+
+std::string PeerRequests::admit(const std::string &request)
+{
+    wire::AdmitRequest message;
+    if (!message.ParseFromString(request)) {
+        return {};
+    }
+    turns::TurnBudget turn;
+    turn.program = ProgramId(message.program_id());
+    turn.team = TeamName(message.team());
+    turn.budget = message.budget_tokens();
+    turn.most = message.most_tokens();
+    wire::AdmitReply reply;
+    reply.set_verdict(verdictOf(m_state.budgets().grant(Incarnation(message.asker_incarnation()),
+                                                        turn, MonotonicClock().now())));
+    return reply.SerializeAsString();
+}
+
+std::string PeerRequests::turn(const std::string &request) const
+{
+    wire::TurnRequest message;
+    if (!message.ParseFromString(request)) {
+        return {};
+    }
+    wire::TurnReply reply;
+    reply.set_complete(m_keeper.reader().knowsAllTurns() && m_isConnectedToAll());
+    reply.set_incarnation(m_state.self().value());
+    for (const turns::KeptTurn &kept : m_state.turns().chain(turns::TurnId(message.turn_id()))) {
+        *reply.add_turns() = toRecord(kept);
+    }
+    return reply.SerializeAsString();
+}
+
+} // namespace basilhall::gateway
--- /dev/null
+++ b/basilhall/gateway/internal/peer_requests.h
@@ -0,0 +1,50 @@
+// Answers what peers ask: to keep records, to admit a turn, for a turn.
+//
+//     PeerRequests requests(self, state, keeper, log, isConnectedToAll);
+//     co_await requests.serve(stream);
+#pragma once
+
+#include "basilhall/gateway/fleet_state.h"
+#include "basilhall/gateway/turn_keeper.h"
+#include "basilhall/logging/log.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace basilhall::transport
+{
+class ServerStream;
+}
+
+namespace basilhall::gateway
+{
+
+// Methods of the streams.
+inline const std::string kKeepMethod = "/keep";
+inline const std::string kAdmitMethod = "/admit";
+inline const std::string kTurnMethod = "/turn";
+
+// Not thread-safe. The references must outlive it.
+class PeerRequests
+{
+public:
+    PeerRequests(FleetState &state, TurnKeeper &keeper, logging::Log log,
+                 std::function<bool()> isConnectedToAll);
+
+    // Answers one request; one that is malformed or unknown is dropped with a log line.
+    boost::asio::awaitable<void> serve(std::shared_ptr<transport::ServerStream> stream);
+
+private:
+    boost::asio::awaitable<std::string> keep(std::string request);
+    std::string admit(const std::string &request);
+    std::string turn(const std::string &request) const;
+
+    FleetState &m_state;
+    TurnKeeper &m_keeper;
+    logging::Log m_log;
+    std::function<bool()> m_isConnectedToAll;
+};
+
+} // namespace basilhall::gateway
--- /dev/null
+++ b/basilhall/gateway/internal/update_codec.cpp
@@ -0,0 +1,80 @@
+#include "basilhall/gateway/internal/update_codec.h"
+
+#include "basilhall/gateway/gateway.pb.h"
+#include "basilhall/gateway/record_codec.h"
+
+namespace basilhall::gateway
+{
+
+void addSpend(wire::Update &update, const Incarnation &incarnation,
+              const turns::SpendReport &report)
+{
+    wire::Spend &spend = *update.add_spends();
+    *spend.mutable_record() = toRecord(incarnation, report);
+    spend.set_in_flight_tokens(report.inFlight);
+    spend.set_grants(report.grants);
+    spend.set_is_home(report.isHome);
+}
+
+void addNews(FleetState &state, wire::Update &update)
+{
+    for (const turns::SpendReport &report : state.budgets().takeChanges()) {
+        addSpend(update, state.self(), report);
+    }
+    for (const auto &[team, requests] : state.takeAdmitted()) {
+        wire::Admitted &admitted = *update.add_admitted();
+        admitted.set_team(team.value());
+        admitted.set_requests(requests);
+    }
+    for (const auto &[endpoint, load] : state.placement().takeLoadChanges()) {
+        wire::EndpointLoad &entry = *update.add_loads();
+        entry.set_endpoint(endpoint.value());
+        entry.set_requests(load.requests);
+        entry.set_tokens(load.tokens);
+    }
+    for (const placement::PromptUse &use : state.placement().takeUses()) {
+        wire::PromptUse &entry = *update.add_uses();
+        entry.set_endpoint(use.endpoint.value());
+        for (const placement::PromptPart &part : use.prompt) {
+            wire::PromptPart &added = *entry.add_parts();
+            added.set_id(part.id);
+            added.set_tokens(part.tokens);
+        }
+    }
+}
+
+void applyNews(const wire::Update &update, Instant now, FleetState &state)
+{
+    const Incarnation from(update.incarnation());
+    for (const journal::TurnKept &turn : update.turns()) {
+        state.turns().add(fromRecord(turn));
+    }
+    for (const wire::Spend &spend : update.spends()) {
+        turns::SpendReport report = fromRecord(spend.record());
+        report.inFlight = spend.in_flight_tokens();
+        report.grants = spend.grants();
+        report.isHome = spend.is_home();
+        const Incarnation spender(spend.record().incarnation());
+        if (spender == from) {
+            state.budgets().onPeerReport(from, report, now);
+        } else {
+            state.budgets().onJournalReport(spender, report, now);
+        }
+    }
+    for (const wire::Admitted &admitted : update.admitted()) {
+        state.onPeerAdmitted(TeamName(admitted.team()), admitted.requests(), now);
+    }
+    for (const wire::EndpointLoad &load : update.loads()) {
+        state.placement().onPeerLoad(from, EndpointName(load.endpoint()),
+                                     {load.requests(), load.tokens()});
+    }
+    for (const wire::PromptUse &use : update.uses()) {
+        placement::PromptUse known{EndpointName(use.endpoint()), {}};
+        for (const wire::PromptPart &part : use.parts()) {
+            known.prompt.push_back({part.id(), part.tokens()});
+        }
+        state.placement().onPeerUse(known);
+    }
+}
+
+} // namespace basilhall::gateway
--- /dev/null
+++ b/basilhall/gateway/journal_reader.cpp
@@ -0,0 +1,250 @@
+#include "basilhall/gateway/journal_reader.h"
+
+#include "basilhall/base/monotonic_clock.h"
+#include "basilhall/gateway/internal/kept_time.h"
+#include "basilhall/gateway/journal_janitor.h"
+#include "basilhall/gateway/ledger_snapshot.h"
+#include "basilhall/gateway/record_codec.h"
+#include "basilhall/transport/signal.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+
+namespace basilhall::gateway
+{
+
+namespace asio = boost::asio;
+using logging::Field;
+
+class JournalReader::Private : public std::enable_shared_from_this<JournalReader::Private>
+{
+public:
+    Private(const asio::any_io_executor &e, StoreAccess a, FleetState &s, logging::Log l)
+        : executor(e)
+        , access(std::move(a))
+        , state(s)
+        , log(std::move(l))
+        , refreshed(e)
+    {
+    }
+
+    static Instant now() { return MonotonicClock().now(); }
+
+    asio::awaitable<store::Outcome> execute(store::Request request)
+    {
+        auto result = std::make_shared<std::optional<store::Outcome>>();
+        auto done = std::make_shared<transport::Signal>(executor);
+        access(std::move(request), [result, done](const store::Outcome &outcome) {
+            *result = outcome;
+            done->notify();
+        });
+        while (!*result) {
+            co_await done->wait();
+        }
+        co_return std::move(**result);
+    }
+
+    // Reads batches from the object API: of one incarnation after what is known, or all.
+    static asio::awaitable<Result<void>> read(std::shared_ptr<Private> self, store::List list)
+    {
+        const store::Outcome outcome = co_await self->execute(std::move(list));
+        if (!outcome) {
+            co_return outcome.error();
+        }
+        for (const store::Object &object : outcome.value()) {
+            self->take(object);
+        }
+        co_return success();
+    }
+
+    void take(const store::Object &object)
+    {
+        const Result<journal::Batch> batch = journal::decodeBatch(object.key, object.data);
+        if (!batch) {
+            log.warning("Skipped a journal batch.", Field("reason", batch.error()));
+            return;
+        }
+        BatchContent content{spendingKeptUntil(), {}};
+        for (const journal::Record &record : batch.value().records()) {
+            if (record.has_turn_kept()) {
+                content.keptUntil =
+                    std::max(content.keptUntil, record.turn_kept().kept_until_wall_ms());
+                content.turns.emplace_back(record.turn_kept().turn_id());
+                state.turns().add(fromRecord(record.turn_kept()));
+            } else if (record.has_program_spend()) {
+                state.budgets().onJournalReport(Incarnation(record.program_spend().incarnation()),
+                                                fromRecord(record.program_spend()), now());
+            }
+        }
+        janitor.onBatch(Incarnation(batch.value().incarnation()), batch.value().number(),
+                        std::move(content));
+    }
+
+    // Reads the ledgers of all incarnations; each tells up to which batch it counts.
+    static asio::awaitable<Result<std::vector<LedgerSnapshot>>>
+    readLedgers(std::shared_ptr<Private> self)
+    {
+        store::List all{kLedgerKind, ""};
+        const store::Outcome outcome = co_await self->execute(std::move(all));
+        if (!outcome) {
+            co_return outcome.error();
+        }
+        std::vector<LedgerSnapshot> snapshots;
+        for (const store::Object &object : outcome.value()) {
+            Result<LedgerSnapshot> snapshot = decodeLedger(object.key, object.data);
+            if (!snapshot) {
+                self->log.error("Skipped a ledger.", Field("reason", snapshot.error()));
+            } else if (snapshot.value().incarnation != self->state.self()) {
+                self->janitor.onLedger(snapshot.value().incarnation, spendingKeptUntil());
+                snapshots.push_back(std::move(snapshot).value());
+            }
+        }
+        co_return snapshots;
+    }
+
+    // Reads the batches of one journal after `heard`.
+    static asio::awaitable<Result<void>>
+    readJournal(std::shared_ptr<Private> self, Incarnation incarnation, journal::BatchNumber heard)
+    {
+        store::List rest{journal::kJournalKind, incarnation.value() + ".",
+                         journal::batchKey(incarnation, heard).name};
+        co_return co_await read(self, std::move(rest));
+    }
+
+    static asio::awaitable<Result<void>> readAll(std::shared_ptr<Private> self, std::size_t rank,
+                                                 std::size_t readers)
+    {
+        const auto lost = self->lostPeers;
+        const auto snapshots = co_await readLedgers(self);
+        if (!snapshots) {
+            co_return snapshots.error();
+        }
+        const std::size_t count = snapshots.value().size();
+        for (std::size_t step = 0; step < readers; ++step) {
+            for (std::size_t i = (rank + step) % readers; i < count; i += readers) {
+                const Result<void> done =
+                    co_await readJournal(self, snapshots.value()[i].incarnation, 0);
+                if (!done) {
+                    co_return done;
+                }
+            }
+        }
+        self->hasRead = true;
+        for (const auto &[peer, heard] : lost) {
+            self->lostPeers.erase(peer);
+        }
+        co_return success();
+    }
+
+    // Reads what was not heard of the journals of lost peers.
+    static asio::awaitable<Result<void>> readLostPeers(std::shared_ptr<Private> self)
+    {
+        const auto lost = self->lostPeers;
+        for (const auto &[peer, heard] : lost) {
+            const Result<void> done = co_await readJournal(self, peer, heard);
+            if (!done) {
+                co_return done;
+            }
+            self->lostPeers.erase(peer);
+        }
+        co_return success();
+    }
+
+    // Reads the journals of lost peers. One reading at a time; whoever comes while one runs waits
+    // for the next, which begins later than the asking.
+    static asio::awaitable<Result<void>> refresh(std::shared_ptr<Private> self)
+    {
+        const std::uint64_t wanted = self->refreshesBegun + 1;
+        while (self->isRefreshing) {
+            co_await self->refreshed.wait();
+        }
+        if (self->refreshesBegun >= wanted) {
+            co_return self->lastRefresh;
+        }
+        self->isRefreshing = true;
+        ++self->refreshesBegun;
+        self->lastRefresh = co_await readLostPeers(self);
+        self->isRefreshing = false;
+        self->refreshed.notify();
+        co_return self->lastRefresh;
+    }
+
+    asio::any_io_executor executor;
+    StoreAccess access;
+    FleetState &state;
+    logging::Log log;
+    // What was read of journals, for when their writers are gone.
+    JournalJanitor janitor{state.turns()};
+    // Peers whose memory is gone, and the last batch of each that was heard.
+    std::map<Incarnation, journal::BatchNumber> lostPeers;
+    bool hasRead = false;
+    std::uint64_t refreshesBegun = 0;
+    bool isRefreshing = false;
+    transport::Signal refreshed;
+    Result<void> lastRefresh = success();
+};
+
+JournalReader::JournalReader(const asio::any_io_executor &executor, StoreAccess access,
+                             FleetState &state, logging::Log log)
+    : d(std::make_shared<Private>(executor, std::move(access), state, std::move(log)))
+{
+}
+
+JournalReader::~JournalReader() = default;
+
+asio::awaitable<Result<void>> JournalReader::loadLedgers()
+{
+    const auto self = d;
+    const auto snapshots = co_await Private::readLedgers(self);
+    if (!snapshots) {
+        co_return snapshots.error();
+    }
+    for (const LedgerSnapshot &snapshot : snapshots.value()) {
+        for (const auto &[incarnation, report] : snapshot.spends) {
+            self->state.budgets().onJournalReport(incarnation, report, Private::now());
+        }
+        const Result<void> done =
+            co_await Private::readJournal(self, snapshot.incarnation, snapshot.batch);
+        if (!done) {
+            co_return done;
+        }
+    }
+    co_return success();
+}
+
+asio::awaitable<Result<void>> JournalReader::loadTurns(std::size_t rank, std::size_t readers)
+{
+    const auto self = d;
+    co_return co_await Private::readAll(self, rank, readers);
+}
+
+asio::awaitable<Result<void>> JournalReader::refresh()
+{
+    const auto self = d;
+    co_return co_await Private::refresh(self);
+}
+
+void JournalReader::noteLostPeer(const Incarnation &peer, std::uint64_t heard)
+{
+    const auto [at, isNew] = d->lostPeers.emplace(peer, heard);
+    at->second = std::min(at->second, heard);
+}
+
+bool JournalReader::hasRead() const
+{
+    return d->hasRead;
+}
+
+bool JournalReader::knowsAllTurns() const
+{
+    return d->hasRead && d->lostPeers.empty();
+}
+
+std::vector<store::ObjectKey>
+JournalReader::expired(WallMillis now, const std::set<Incarnation> &live, std::size_t limit)
+{
+    return d->janitor.expired(now, live, limit);
+}
+
+} // namespace basilhall::gateway
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -2,7 +2,11 @@
 
 #include "basilhall/base/monotonic_clock.h"
 #include "basilhall/gateway/gateway.pb.h"
+#include "basilhall/gateway/internal/peer_requests.h"
+#include "basilhall/gateway/internal/update_codec.h"
+#include "basilhall/gateway/journal_reader.h"
 #include "basilhall/gateway/record_codec.h"
+#include "basilhall/transport/server_stream.h"
 #include "basilhall/transport/signal.h"
 #include "basilhall/transport/stream_client.h"
 #include "basilhall/transport/stream_server.h"
@@ -27,17 +31,12 @@
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 const std::string kUpdatesMethod = "/updates";
-const std::string kKeepMethod = "/keep";
-const std::string kAdmitMethod = "/admit";
-const std::string kTurnMethod = "/turn";
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 constexpr Duration kReconnectPause = std::chrono::milliseconds(250);
 // A peer that is silent for six beats counts as not heard, so that limits are split in time.
 constexpr Duration kHeardWithin = std::chrono::milliseconds(600);
-// Time for a peer to make records durable; its own object API calls take a few milliseconds.
 // Time for the home of a program to answer; the way there and back takes a few milliseconds.
 constexpr Duration kAskTimeout = std::chrono::milliseconds(400);
-constexpr Duration kRelayTimeout = std::chrono::milliseconds(800);
 // Messages that wait for a slow subscriber; beyond that its stream is reset and begins anew.
 constexpr std::size_t kMaxQueued = 2000;
 // Processor that a gateway needs to write the journal of a large fleet besides its own work:
@@ -98,6 +97,7 @@
         , log(std::move(l))
         , onPolicy(std::move(policyHandler))
         , onMember(std::move(memberHandler))
+        , requests(st, k, log, [this] { return isConnectedToAll(); })
         , client(e, kKeepAlive)
     {
     }
@@ -122,12 +122,8 @@
         }
         if (stream->method() == kUpdatesMethod) {
             co_await serveUpdates(self, stream);
-        } else if (stream->method() == kKeepMethod) {
-            co_await serveKeep(self, stream);
-        } else if (stream->method() == kAdmitMethod) {
-            co_await serveAdmit(self, stream);
-        } else if (stream->method() == kTurnMethod) {
-            co_await serveTurn(self, stream);
+        } else {
+            co_await self->requests.serve(stream);
         }
     }
 
@@ -168,79 +164,6 @@
         self->subscribers.erase(subscriber);
     }
 
-    static asio::awaitable<void> serveKeep(std::shared_ptr<Private> self,
-                                           std::shared_ptr<transport::ServerStream> stream)
-    {
-        wire::KeepRequest request;
-        if (!request.ParseFromString(stream->request())) {
-            self->log.warning("Dropped a malformed request of a peer.");
-            co_return;
-        }
-        std::vector<journal::Record> records(request.records().begin(), request.records().end());
-        const Result<void> kept = co_await self->keeper.keepFor(std::move(records), kRelayTimeout);
-        wire::KeepReply reply;
-        reply.set_durable(kept.has_value());
-        const Result<void> sent = co_await stream->send(reply.SerializeAsString());
-        if (sent) {
-            (void)co_await stream->finish();
-        }
-    }
-
-    static wire::AdmitVerdict verdictOf(turns::Admission admission)
-    {
-        switch (admission) {
-        case turns::Admission::Admitted:
-            return wire::ADMIT_VERDICT_ADMITTED;
-        case turns::Admission::Exhausted:
-            return wire::ADMIT_VERDICT_EXHAUSTED;
-        default:
-            return wire::ADMIT_VERDICT_ELSEWHERE;
-        }
-    }
-
-    static asio::awaitable<void> serveAdmit(std::shared_ptr<Private> self,
-                                            std::shared_ptr<transport::ServerStream> stream)
-    {
-        wire::AdmitRequest request;
-        if (!request.ParseFromString(stream->request())) {
-            self->log.warning("Dropped a malformed request of a peer.");
-            co_return;
-        }
-        turns::TurnBudget turn;
-        turn.program = ProgramId(request.program_id());
-        turn.team = TeamName(request.team());
-        turn.budget = request.budget_tokens();
-        turn.most = request.most_tokens();
-        wire::AdmitReply reply;
-        reply.set_verdict(verdictOf(
-            self->state.budgets().grant(Incarnation(request.asker_incarnation()), turn, now())));
-        const Result<void> sent = co_await stream->send(reply.SerializeAsString());
-        if (sent) {
-            (void)co_await stream->finish();
-        }
-    }
-
-    static asio::awaitable<void> serveTurn(std::shared_ptr<Private> self,
-                                           std::shared_ptr<transport::ServerStream> stream)
-    {
-        wire::TurnRequest request;
-        if (!request.ParseFromString(stream->request())) {
-            self->log.warning("Dropped a malformed request of a peer.");
-            co_return;
-        }
-        wire::TurnReply reply;
-        reply.set_complete(self->keeper.knowsAllTurns() && self->isConnectedToAll());
-        reply.set_incarnation(self->self.incarnation.value());
-        for (const turns::KeptTurn &turn :
-             self->state.turns().chain(turns::TurnId(request.turn_id()))) {
-            *reply.add_turns() = toRecord(turn);
-        }
-        const Result<void> sent = co_await stream->send(reply.SerializeAsString());
-        if (sent) {
-            (void)co_await stream->finish();
-        }
-    }
-
     // Sends one request and returns its one reply, if it comes in time.
     asio::awaitable<std::optional<std::string>> askOnce(Address address, std::string method,
                                                         std::string request)
@@ -344,16 +267,6 @@
         return std::make_shared<const std::string>(update.SerializeAsString());
     }
 
-    static void addSpend(wire::Update &update, const Incarnation &incarnation,
-                         const turns::SpendReport &report)
-    {
-        wire::Spend &spend = *update.add_spends();
-        *spend.mutable_record() = toRecord(incarnation, report);
-        spend.set_in_flight_tokens(report.inFlight);
-        spend.set_grants(report.grants);
-        spend.set_is_home(report.isHome);
-    }
-
     void broadcast(const wire::Update &update)
     {
         const auto message = std::make_shared<const std::string>(update.SerializeAsString());
@@ -370,29 +283,7 @@
     void flush()
     {
         wire::Update update = newUpdate();
-        for (const turns::SpendReport &report : state.budgets().takeChanges()) {
-            addSpend(update, self.incarnation, report);
-        }
-        for (const auto &[team, requests] : state.takeAdmitted()) {
-            wire::Admitted &admitted = *update.add_admitted();
-            admitted.set_team(team.value());
-            admitted.set_requests(requests);
-        }
-        for (const auto &[endpoint, load] : state.placement().takeLoadChanges()) {
-            wire::EndpointLoad &entry = *update.add_loads();
-            entry.set_endpoint(endpoint.value());
-            entry.set_requests(load.requests);
-            entry.set_tokens(load.tokens);
-        }
-        for (const placement::PromptUse &use : state.placement().takeUses()) {
-            wire::PromptUse &entry = *update.add_uses();
-            entry.set_endpoint(use.endpoint.value());
-            for (const placement::PromptPart &part : use.prompt) {
-                wire::PromptPart &added = *entry.add_parts();
-                added.set_id(part.id);
-                added.set_tokens(part.tokens);
-            }
-        }
+        addNews(state, update);
         broadcast(update);
         updateShare();
     }
@@ -422,44 +313,6 @@
                             static_cast<std::uint32_t>(peers.size() + 1), now());
     }
 
-    void apply(const wire::Update &update)
-    {
-        const Incarnation from(update.incarnation());
-        const Instant time = now();
-        for (const journal::TurnKept &turn : update.turns()) {
-            keeper.learn(turn);
-        }
-        for (const wire::Spend &spend : update.spends()) {
-            turns::SpendReport report = fromRecord(spend.record());
-            report.inFlight = spend.in_flight_tokens();
-            report.grants = spend.grants();
-            report.isHome = spend.is_home();
-            const Incarnation spender(spend.record().incarnation());
-            if (spender == from) {
-                state.budgets().onPeerReport(from, report, time);
-            } else {
-                state.budgets().onJournalReport(spender, report, time);
-            }
-        }
-        for (const wire::Admitted &admitted : update.admitted()) {
-            state.onPeerAdmitted(TeamName(admitted.team()), admitted.requests(), time);
-        }
-        for (const wire::EndpointLoad &load : update.loads()) {
-            state.placement().onPeerLoad(from, EndpointName(load.endpoint()),
-                                         {load.requests(), load.tokens()});
-        }
-        for (const wire::PromptUse &use : update.uses()) {
-            placement::PromptUse known{EndpointName(use.endpoint()), {}};
-            for (const wire::PromptPart &part : use.parts()) {
-                known.prompt.push_back({part.id(), part.tokens()});
-            }
-            state.placement().onPeerUse(known);
-        }
-        if (update.has_policy()) {
-            onPolicy({update.policy().version(), update.policy().document()});
-        }
-    }
-
     // Reads the updates of one member until it is dropped.
     static asio::awaitable<void> follow(std::shared_ptr<Private> self, std::shared_ptr<Peer> peer)
     {
@@ -510,9 +363,10 @@
             }
             if (!peer->isConnected) {
                 peer->isConnected = true;
-                if (peer->wasConnected || self->keeper.knowsAllTurns()) {
+                if (peer->wasConnected || self->keeper.reader().knowsAllTurns()) {
                     // Turns that were announced without a connection were not heard.
-                    self->keeper.noteLostPeer(peer->member.incarnation, peer->durableBatch);
+                    self->keeper.reader().noteLostPeer(peer->member.incarnation,
+                                                       peer->durableBatch);
                 }
                 peer->wasConnected = true;
                 self->log.info("Hears a peer.", Field("peer", peer->member.host),
@@ -521,7 +375,10 @@
             peer->heardAt = now();
             peer->durableBatch = update.durable_batch();
             peer->isLoaded = peer->isLoaded || update.loaded();
-            self->apply(update);
+            applyNews(update, now(), self->state);
+            if (update.has_policy()) {
+                self->onPolicy({update.policy().version(), update.policy().document()});
+            }
         }
     }
 
@@ -562,6 +419,7 @@
     logging::Log log;
     PolicyHandler onPolicy;
     MemberHandler onMember;
+    PeerRequests requests;
     transport::StreamClient client;
     std::unique_ptr<transport::StreamServer> server;
     std::map<HostName, std::shared_ptr<Peer>> peers;
@@ -607,7 +465,7 @@
         const auto still = kept.find(host);
         peer->isDropped = still == kept.end() || still->second != peer;
         if (peer->isDropped) {
-            d->keeper.noteLostPeer(peer->member.incarnation, peer->durableBatch);
+            d->keeper.reader().noteLostPeer(peer->member.incarnation, peer->durableBatch);
         }
     }
     d->peers = std::move(kept);
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -1,7 +1,9 @@
 #include "basilhall/gateway/turn_keeper.h"
 
 #include "basilhall/base/monotonic_clock.h"
+#include "basilhall/gateway/internal/kept_time.h"
 #include "basilhall/gateway/journal_janitor.h"
+#include "basilhall/gateway/journal_reader.h"
 #include "basilhall/gateway/ledger_snapshot.h"
 #include "basilhall/gateway/record_codec.h"
 #include "basilhall/gateway/snapshot_writer.h"
@@ -15,7 +17,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <map>
 #include <optional>
 #include <set>
 
@@ -34,9 +35,6 @@
 constexpr Duration kRelayAfter = std::chrono::milliseconds(150);
 // Writes that fail for so long make new turns refused at once.
 constexpr Duration kNotKeepingAfter = std::chrono::milliseconds(600);
-// A program whose budget is spent may come back for as long as turns are kept; the users' routes
-// keep them for 60 s.
-constexpr WallMillis kSpendingKeptMillis = 120'000;
 // Objects removed a second, so that a clean-up takes few of the store's writes.
 constexpr std::size_t kRemovalsPerRound = 20;
 // Pause before the first ledger is written again.
@@ -65,6 +63,7 @@
         , access(std::move(a))
         , state(s)
         , log(std::move(l))
+        , reader(e, access, s, log)
         , batches(registry.counter(metrics::Metric::JournalBatches))
         , writer(s.self(), ids, {.flushInterval = kFlushInterval})
         , ledger(access, {kLedgerKind, s.self().value()})
@@ -278,118 +277,6 @@
         self->isCovering = false;
     }
 
-    asio::awaitable<store::Outcome> execute(store::Request request)
-    {
-        auto result = std::make_shared<std::optional<store::Outcome>>();
-        auto done = std::make_shared<transport::Signal>(executor);
-        access(std::move(request), [result, done](const store::Outcome &outcome) {
-            *result = outcome;
-            done->notify();
-        });
-        while (!*result) {
-            co_await done->wait();
-        }
-        co_return std::move(**result);
-    }
-
-    // Reads batches from the object API: of one incarnation after what is known, or all.
-    static asio::awaitable<Result<void>> read(std::shared_ptr<Private> self, store::List list)
-    {
-        const store::Outcome outcome = co_await self->execute(std::move(list));
-        if (!outcome) {
-            co_return outcome.error();
-        }
-        for (const store::Object &object : outcome.value()) {
-            self->take(object);
-        }
-        co_return success();
-    }
-
-    void take(const store::Object &object)
-    {
-        const Result<journal::Batch> batch = journal::decodeBatch(object.key, object.data);
-        if (!batch) {
-            log.warning("Skipped a journal batch.", Field("reason", batch.error()));
-            return;
-        }
-        BatchContent content{spendingKeptUntil(), {}};
-        for (const journal::Record &record : batch.value().records()) {
-            if (record.has_turn_kept()) {
-                content.keptUntil =
-                    std::max(content.keptUntil, record.turn_kept().kept_until_wall_ms());
-                content.turns.emplace_back(record.turn_kept().turn_id());
-                learn(record.turn_kept());
-            } else if (record.has_program_spend()) {
-                state.budgets().onJournalReport(Incarnation(record.program_spend().incarnation()),
-                                                fromRecord(record.program_spend()), now());
-            }
-        }
-        goneObjects.onBatch(Incarnation(batch.value().incarnation()), batch.value().number(),
-                            std::move(content));
-    }
-
-    void learn(const journal::TurnKept &turn)
-    {
-        state.turns().add(fromRecord(turn));
-        progress.notify();
-    }
-
-    // Reads the ledgers of all incarnations; each tells up to which batch it counts.
-    static asio::awaitable<Result<std::vector<LedgerSnapshot>>>
-    readLedgers(std::shared_ptr<Private> self)
-    {
-        store::List all{kLedgerKind, ""};
-        const store::Outcome outcome = co_await self->execute(std::move(all));
-        if (!outcome) {
-            co_return outcome.error();
-        }
-        std::vector<LedgerSnapshot> snapshots;
-        for (const store::Object &object : outcome.value()) {
-            Result<LedgerSnapshot> snapshot = decodeLedger(object.key, object.data);
-            if (!snapshot) {
-                self->log.error("Skipped a ledger.", Field("reason", snapshot.error()));
-            } else if (snapshot.value().incarnation != self->state.self()) {
-                self->goneObjects.onLedger(snapshot.value().incarnation, spendingKeptUntil());
-                snapshots.push_back(std::move(snapshot).value());
-            }
-        }
-        co_return snapshots;
-    }
-
-    // Reads the batches of one journal after `heard`.
-    static asio::awaitable<Result<void>>
-    readJournal(std::shared_ptr<Private> self, Incarnation incarnation, journal::BatchNumber heard)
-    {
-        store::List rest{journal::kJournalKind, incarnation.value() + ".",
-                         journal::batchKey(incarnation, heard).name};
-        co_return co_await read(self, std::move(rest));
-    }
-
-    static asio::awaitable<Result<void>> readAll(std::shared_ptr<Private> self, std::size_t rank,
-                                                 std::size_t readers)
-    {
-        const auto lost = self->lostPeers;
-        const auto snapshots = co_await readLedgers(self);
-        if (!snapshots) {
-            co_return snapshots.error();
-        }
-        const std::size_t count = snapshots.value().size();
-        for (std::size_t step = 0; step < readers; ++step) {
-            for (std::size_t i = (rank + step) % readers; i < count; i += readers) {
-                const Result<void> done =
-                    co_await readJournal(self, snapshots.value()[i].incarnation, 0);
-                if (!done) {
-                    co_return done;
-                }
-            }
-        }
-        self->hasRead = true;
-        for (const auto &[peer, heard] : lost) {
-            self->lostPeers.erase(peer);
-        }
-        co_return success();
-    }
-
     // Waits a moment for the reading of the journals to come to the turn.
     static asio::awaitable<Result<std::string>> awaitPrompt(std::shared_ptr<Private> self,
                                                             turns::TurnId previous, TeamName team,
@@ -410,50 +297,11 @@
             .withRetryAfter(kReadingRetry);
     }
 
-    // Reads what was not heard of the journals of lost peers.
-    static asio::awaitable<Result<void>> readLostPeers(std::shared_ptr<Private> self)
-    {
-        const auto lost = self->lostPeers;
-        for (const auto &[peer, heard] : lost) {
-            const Result<void> done = co_await readJournal(self, peer, heard);
-            if (!done) {
-                co_return done;
-            }
-            self->lostPeers.erase(peer);
-        }
-        co_return success();
-    }
-
-    // Reads the journals of lost peers. One reading at a time; whoever comes while one runs waits
-    // for the next, which begins later than the asking.
-    static asio::awaitable<Result<void>> refresh(std::shared_ptr<Private> self)
-    {
-        const std::uint64_t wanted = self->refreshesBegun + 1;
-        while (self->isRefreshing) {
-            co_await self->refreshed.wait();
-        }
-        if (self->refreshesBegun >= wanted) {
-            co_return self->lastRefresh;
-        }
-        self->isRefreshing = true;
-        ++self->refreshesBegun;
-        self->lastRefresh = co_await readLostPeers(self);
-        self->isRefreshing = false;
-        self->refreshed.notify();
-        co_return self->lastRefresh;
-    }
-
-    static WallMillis spendingKeptUntil()
-    {
-        return MonotonicClock().wallMillis() + kSpendingKeptMillis;
-    }
-
-    bool knowsAllTurns() const { return hasRead && lostPeers.empty(); }
-
     asio::any_io_executor executor;
     StoreAccess access;
     FleetState &state;
     logging::Log log;
+    JournalReader reader;
     metrics::Counter &batches;
     store::OperationIdSource ids;
     journal::Writer writer;
@@ -463,7 +311,6 @@
     // Batch of the last ledger that is durable.
     journal::BatchNumber ledgerBatch = 0;
     JournalJanitor ownObjects{state.turns()};
-    JournalJanitor goneObjects{state.turns()};
     // Turns appended since the last batch became durable, and between that and the one before.
     std::vector<turns::TurnId> appendedTurns;
     std::vector<turns::TurnId> earlierTurns;
@@ -478,14 +325,7 @@
     Relay commit;
     std::optional<Instant> relayFailedAt;
     Announce announce;
-    std::uint64_t refreshesBegun = 0;
-    // Peers whose memory is gone, and the last batch of each that was heard.
-    std::map<Incarnation, journal::BatchNumber> lostPeers;
     SearchPeers searchPeers;
-    bool hasRead = false;
-    bool isRefreshing = false;
-    transport::Signal refreshed{executor};
-    Result<void> lastRefresh = success();
     bool isCovering = false;
     bool isLoaded = false;
 };
@@ -516,32 +356,6 @@
     d->announce = std::move(announce);
 }
 
-asio::awaitable<Result<void>> TurnKeeper::loadLedgers()
-{
-    const auto self = d;
-    const auto snapshots = co_await Private::readLedgers(self);
-    if (!snapshots) {
-        co_return snapshots.error();
-    }
-    for (const LedgerSnapshot &snapshot : snapshots.value()) {
-        for (const auto &[incarnation, report] : snapshot.spends) {
-            self->state.budgets().onJournalReport(incarnation, report, Private::now());
-        }
-        const Result<void> done =
-            co_await Private::readJournal(self, snapshot.incarnation, snapshot.batch);
-        if (!done) {
-            co_return done;
-        }
-    }
-    co_return success();
-}
-
-asio::awaitable<Result<void>> TurnKeeper::loadTurns(std::size_t rank, std::size_t readers)
-{
-    const auto self = d;
-    co_return co_await Private::readAll(self, rank, readers);
-}
-
 void TurnKeeper::saveLedger()
 {
     d->saveLedger();
@@ -604,7 +418,7 @@
             self->state.budgets().onJournalReport(spender, fromRecord(record.program_spend()),
                                                   Private::now());
         } else if (record.has_turn_kept()) {
-            self->learn(record.turn_kept());
+            self->state.turns().add(fromRecord(record.turn_kept()));
         }
     }
     const auto ticket = self->append(records);
@@ -646,15 +460,15 @@
     }
     made = self->state.turns().prompt(previous, team, input);
     const bool isSure = search == TurnSearch::Unknown
-        || (search == TurnSearch::UnknownToPeers && self->knowsAllTurns());
+        || (search == TurnSearch::UnknownToPeers && self->reader.knowsAllTurns());
     if (made || isSure) {
         co_return made;
     }
-    if (!self->hasRead) {
+    if (!self->reader.hasRead()) {
         co_return co_await Private::awaitPrompt(self, std::move(previous), std::move(team),
                                                 std::move(input));
     }
-    const Result<void> read = co_await Private::refresh(self);
+    const Result<void> read = co_await self->reader.refresh();
     made = self->state.turns().prompt(previous, team, input);
     if (made || read) {
         co_return made;
@@ -669,10 +483,9 @@
     d->searchPeers = std::move(searchPeers);
 }
 
-void TurnKeeper::noteLostPeer(const Incarnation &peer, std::uint64_t heard)
+JournalReader &TurnKeeper::reader()
 {
-    const auto [at, isNew] = d->lostPeers.emplace(peer, heard);
-    at->second = std::min(at->second, heard);
+    return d->reader;
 }
 
 std::uint64_t TurnKeeper::durableBatch() const
@@ -685,11 +498,6 @@
     d->isLoaded = true;
 }
 
-bool TurnKeeper::knowsAllTurns() const
-{
-    return d->knowsAllTurns();
-}
-
 bool TurnKeeper::isLoaded() const
 {
     return d->isLoaded;
@@ -706,7 +514,7 @@
 
 void TurnKeeper::learn(const journal::TurnKept &turn)
 {
-    d->learn(turn);
+    d->state.turns().add(fromRecord(turn));
 }
 
 void TurnKeeper::expire(const std::optional<std::set<Incarnation>> &live)
@@ -715,7 +523,7 @@
     d->state.turns().expire(wallNow);
     d->remove(d->ownObjects.expired(wallNow, {}, kRemovalsPerRound));
     if (live) {
-        d->remove(d->goneObjects.expired(wallNow, *live, kRemovalsPerRound));
+        d->remove(d->reader.expired(wallNow, *live, kRemovalsPerRound));
     }
     d->state.budgets().expire(Private::now() - kProgramMemory);
 }
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -29,6 +29,8 @@
 namespace basilhall::gateway
 {
 
+class JournalReader;
+
 // What the peers say of a turn.
 enum class TurnSearch {
     Found,
@@ -64,21 +66,12 @@
     void setCommit(Relay commit);
     void setAnnounce(Announce announce);
     void setSearchPeers(SearchPeers searchPeers);
-    // A peer is gone whose turns up to the batch `heard` of its journal were heard; the rest is
-    // read from its journal when it is needed.
-    void noteLostPeer(const Incarnation &peer, std::uint64_t heard);
     // Number of the last own batch that is durable.
     std::uint64_t durableBatch() const;
     // A peer has told all spending that was kept before.
     void setLoaded();
-    // True once the journals were read, and again those of peers that were lost since.
-    bool knowsAllTurns() const;
-
-    // Reads what all gateways have handed out: their ledgers, and the ends of their journals.
-    boost::asio::awaitable<Result<void>> loadLedgers();
-    // Reads all journals, those first whose place in the order of names leaves `rank` when divided
-    // by `readers`: gateways that read at once begin with different ones.
-    boost::asio::awaitable<Result<void>> loadTurns(std::size_t rank, std::size_t readers);
+    // Reads what was kept.
+    JournalReader &reader();
     // Writes the own ledger if it has changed. Nothing is kept before the first time.
     void saveLedger();
 
