--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -470,7 +470,8 @@
     }
     const Result<void> read = co_await self->reader.refresh();
     made = self->state.turns().prompt(previous, team, input);
-    if (made || read) {
+    // A peer that did not answer may have kept the turn a moment ago.
+    if (made || (read && search != TurnSearch::Unsure)) {
         co_return made;
     }
     co_return Error(ErrorKind::StoreUnavailable, "the turn cannot be looked up")
--- a/basilhall/transport/internal/link.cpp
+++ b/basilhall/transport/internal/link.cpp
@@ -12,8 +12,9 @@
 {
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
-// Longest attempt to connect, whatever its callers wait.
-constexpr Duration kConnectLimit = std::chrono::seconds(5);
+// Longest attempt to connect, whatever its callers wait. An opening packet that a dark host did not
+// get is sent again only after a second, then two; a new attempt is sooner.
+constexpr Duration kConnectLimit = std::chrono::milliseconds(500);
 
 } // namespace
 
