Registrations that lapse while the store refuses writes stay for their grace

A new host waited 3 s to meet a host that was gone. Change: a removal waits for the grace while the gateway's own writes are refused; the wait to meet all is only for a start without a peer that knows.

--- a/basilhall/fleet/endpoint_directory.cpp
+++ b/basilhall/fleet/endpoint_directory.cpp
@@ -19,9 +19,12 @@
         present.emplace(endpoint.name, endpoint);
     }
     m_lapsed.clear();
-    m_graceEnd.reset();
-    if (afterOutage && !m_endpoints.empty()) {
-        m_graceEnd = now + m_returnGrace;
+    const bool isInGrace = m_graceEnd && now < *m_graceEnd;
+    if (!isInGrace) {
+        m_graceEnd.reset();
+    }
+    if ((afterOutage || isInGrace) && !m_endpoints.empty()) {
+        noteTrouble(now);
         for (const auto &[name, endpoint] : m_endpoints) {
             if (!present.contains(name)) {
                 m_lapsed.push_back(name);
@@ -32,6 +35,11 @@
     m_endpoints = std::move(present);
 }
 
+void EndpointDirectory::noteTrouble(Instant now)
+{
+    m_graceEnd = std::max(m_graceEnd.value_or(now), now + m_returnGrace);
+}
+
 void EndpointDirectory::set(const Endpoint &endpoint)
 {
     m_endpoints.insert_or_assign(endpoint.name, endpoint);
--- a/basilhall/fleet/endpoint_directory.h
+++ b/basilhall/fleet/endpoint_directory.h
@@ -2,6 +2,7 @@
 //
 //     EndpointDirectory directory(kReturnGrace);
 //     directory.replaceAll(listed, true, now); // after the store was out of reach
+//     directory.noteTrouble(now);
 //     directory.set(endpoint);
 //     directory.remove(name);
 //     directory.expire(now);
@@ -26,6 +27,9 @@
 
     // Takes a whole list. With `afterOutage`, endpoints that it lacks stay until the grace ends.
     void replaceAll(const std::vector<Endpoint> &listed, bool afterOutage, Instant now);
+    // The store refuses or does not answer: registrations may lapse though their endpoints live.
+    // The grace begins anew.
+    void noteTrouble(Instant now);
     void set(const Endpoint &endpoint);
     // A removal that the store reports; during the grace it counts only at its end.
     void remove(const EndpointName &name, Instant now);
--- a/basilhall/fleet/endpoint_directory_test.cpp
+++ b/basilhall/fleet/endpoint_directory_test.cpp
@@ -37,6 +37,24 @@
     BOOST_TEST(!directory.find(EndpointName("c")));
 }
 
+// Khamir inc-03f1: the store refused writes, registrations lapsed while the watch went on, and for
+// seconds no endpoint was known.
+BOOST_AUTO_TEST_CASE(removalsWhileTheStoreIsInTroubleWaitForTheGrace)
+{
+    EndpointDirectory directory(2s);
+    directory.replaceAll({endpoint("a"), endpoint("b")}, false, kStart);
+    directory.noteTrouble(kStart + 1s);
+    directory.remove(EndpointName("a"), kStart + 2s);
+    directory.remove(EndpointName("b"), kStart + 2s);
+    directory.noteTrouble(kStart + 4s);
+    BOOST_TEST(directory.expire(kStart + 5s).empty());
+    BOOST_TEST(directory.find(EndpointName("a")));
+    directory.set(endpoint("a"));
+    BOOST_TEST(directory.expire(kStart + 6s).size() == 1U);
+    BOOST_TEST(directory.find(EndpointName("a")));
+    BOOST_TEST(!directory.find(EndpointName("b")));
+}
+
 BOOST_AUTO_TEST_CASE(removalCountsAtOnceWithoutAnOutage)
 {
     EndpointDirectory directory(2s);
--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -40,6 +40,8 @@
 
     void replaceEndpoints(const std::vector<fleet::Endpoint> &listed, bool afterOutage,
                           Instant now);
+    // The store is in trouble: registrations may lapse though their endpoints live.
+    void noteStoreTrouble(Instant now) { m_directory.noteTrouble(now); }
     void setEndpoint(const fleet::Endpoint &endpoint);
     void removeEndpoint(const EndpointName &name, Instant now);
     // Drops registrations that have not come back. Returns how many.
--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -150,7 +150,10 @@
             pause.expires_after(kLoadRetry);
             (void)co_await pause.async_wait(kTuple);
         }
-        while (now() - begun < kMeetWait && !self->mesh.isConnectedToAll()) {
+        // Without a peer that knows, all choose new homes of the programs: they have to know each
+        // other.
+        const bool isAnew = !self->mesh.hasLoadedPeer();
+        while (isAnew && now() - begun < kMeetWait && !self->mesh.isConnectedToAll()) {
             pause.expires_after(kPeerCheck);
             (void)co_await pause.async_wait(kTuple);
         }
@@ -176,6 +179,9 @@
         Instant nextHousekeeping = now();
         while (!self->isStopped) {
             self->mesh.flush();
+            if (self->keeper.isStoreFailing()) {
+                self->state.noteStoreTrouble(now());
+            }
             const std::size_t dropped = self->state.expireEndpoints(now());
             if (dropped > 0) {
                 self->log.info("Dropped registrations that did not come back.",
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -504,6 +504,11 @@
     return d->isLoaded;
 }
 
+bool TurnKeeper::isStoreFailing() const
+{
+    return d->failingSince.has_value();
+}
+
 bool TurnKeeper::isKeeping() const
 {
     const Instant now = Private::now();
