--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -37,6 +37,9 @@
 // A successor reads the journal from the last ledger on; each costs a call.
 constexpr Duration kLedgerInterval = std::chrono::seconds(2);
 constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
+// Registrations lapse after three heartbeats of 1.2 s; the store had to be away for most of that. A
+// shorter trouble, such as one late answer, must not keep endpoints that leave.
+constexpr Duration kLapseTime = std::chrono::seconds(2);
 // The platform asks for readiness once a second and takes a host out after two misses.
 constexpr Duration kBalancerDelay = std::chrono::milliseconds(2500);
 // Requests still running this long before the kill are cut, so that the process ends in order.
@@ -179,7 +182,7 @@
         Instant nextHousekeeping = now();
         while (!self->isStopped) {
             self->mesh.flush();
-            if (self->keeper.isStoreFailing()) {
+            if (self->keeper.storeFailingFor() >= kLapseTime) {
                 self->state.noteStoreTrouble(now());
             }
             const std::size_t dropped = self->state.expireEndpoints(now());
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -504,9 +504,9 @@
     return d->isLoaded;
 }
 
-bool TurnKeeper::isStoreFailing() const
+Duration TurnKeeper::storeFailingFor() const
 {
-    return d->failingSince.has_value();
+    return d->failingSince ? Private::now() - *d->failingSince : Duration::zero();
 }
 
 bool TurnKeeper::isKeeping() const
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -95,8 +95,8 @@
 
     // False until load() has succeeded: nothing can be said of turns and budgets.
     bool isLoaded() const;
-    // True while the object API refuses or does not answer.
-    bool isStoreFailing() const;
+    // How long the object API has refused or not answered; zero if it takes records.
+    Duration storeFailingFor() const;
     // False while the object API does not take records and no peer has taken them either.
     bool isKeeping() const;
     // Takes a record that a peer announced or a journal holds.
