A stream runs on no more endpoints than its route allows

Ruled out: token budgets; the rule is that of attempts. Change: an endpoint counts unless its registration is gone.

--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -411,8 +411,12 @@
             }
             context->tried.insert(endpoint);
             m_log.failed(*context, passed.error());
+            if (!m_state.hasEndpoint(endpoint)) {
+                // An endpoint that has ended does not count.
+                --context->runs;
+            }
             if (!context->route->isResumable || context->isCallerGone
-                || context->runs >= context->route->maxAttempts + kResumesBeyondAttempts) {
+                || context->runs >= context->route->maxAttempts) {
                 co_return passed.error();
             }
         }
--- a/basilhall/gateway/internal/route_choice.h
+++ b/basilhall/gateway/internal/route_choice.h
@@ -33,8 +33,6 @@
 inline constexpr std::uint32_t kAdmissionRounds = 5;
 // Turns that one budget record covers ahead: sub-agents run two or three at once.
 inline constexpr std::uint64_t kTurnsAhead = 1;
-// A stream that breaks because its endpoint ended may go on once more than the route says.
-inline constexpr std::uint32_t kResumesBeyondAttempts = 1;
 // Added to a turn's retention, for clocks of hosts that differ.
 inline constexpr Duration kRetentionMargin = std::chrono::seconds(5);
 
