--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -29,8 +29,8 @@
 // may be that of a host that is gone.
 constexpr Duration kMeetWait = std::chrono::seconds(3);
 constexpr Duration kPeerCheck = std::chrono::milliseconds(20);
-// Pause between tries to read the journals while peers answer for them.
-constexpr Duration kBackgroundRetry = std::chrono::seconds(2);
+// Pause between looks whether journals have to be read, while peers answer for them.
+constexpr Duration kBackgroundRetry = std::chrono::seconds(1);
 constexpr Duration kLoadRetry = std::chrono::milliseconds(200);
 // A successor reads the journal from the last ledger on; each costs a call.
 constexpr Duration kLedgerInterval = std::chrono::seconds(2);
@@ -163,11 +163,20 @@
                        Field("programs", self->state.budgets().size()),
                        Field("from_peer", self->mesh.hasLoadedPeer()),
                        Field("after", now() - begun));
-        while (!self->keeper.reader().knowsAllTurns() && !self->isStopped) {
+        while (!self->isStopped) {
             // Peers may forget turns of before when they restart in turn.
-            const Result<void> done = co_await self->keeper.reader().loadTurns(
-                self->mesh.rank(), self->mesh.memberCount() + 1);
-            pause.expires_after(done ? Duration::zero() : kBackgroundRetry);
+            if (self->mesh.isToldOfTurns() && !self->keeper.reader().hasRead()) {
+                const Result<void> done = co_await self->keeper.reader().loadTurns(
+                    self->mesh.holderRank(), self->mesh.holderCount());
+                if (!done) {
+                    self->log.warning("Cannot read the journals yet.",
+                                      Field("reason", done.error()));
+                }
+            } else if (self->mesh.isHolder() && !self->keeper.reader().knowsAllTurns()) {
+                // A failure shows when a turn is looked up; the next round tries again.
+                (void)co_await self->keeper.reader().refresh();
+            }
+            pause.expires_after(kBackgroundRetry);
             (void)co_await pause.async_wait(kTuple);
         }
     }
@@ -193,12 +202,12 @@
             }
             if (now() >= nextHousekeeping) {
                 nextHousekeeping = now() + kHousekeepingInterval;
-                self->keeper.expire(self->mesh.rank() == 0
+                self->keeper.expire(self->mesh.isHolder() && self->mesh.holderRank() == 0
                                         ? std::optional(self->mesh.liveIncarnations())
                                         : std::nullopt);
                 self->membership.removeSilent();
             }
-            timer.expires_after(PeerMesh::kBeat);
+            timer.expires_after(self->mesh.beat());
             (void)co_await timer.async_wait(kTuple);
         }
     }
--- a/basilhall/gateway/internal/peer_requests.cpp
+++ b/basilhall/gateway/internal/peer_requests.cpp
@@ -34,11 +34,11 @@
 } // namespace
 
 PeerRequests::PeerRequests(FleetState &state, TurnKeeper &keeper, logging::Log log,
-                           std::function<bool()> isConnectedToAll, std::function<void()> sendNews)
+                           std::function<bool()> hearsAllTurns, std::function<void()> sendNews)
     : m_state(state)
     , m_keeper(keeper)
     , m_log(std::move(log))
-    , m_isConnectedToAll(std::move(isConnectedToAll))
+    , m_hearsAllTurns(std::move(hearsAllTurns))
     , m_sendNews(std::move(sendNews))
 {
 }
@@ -124,7 +124,7 @@
         return {};
     }
     wire::TurnReply reply;
-    reply.set_complete(m_keeper.reader().knowsAllTurns() && m_isConnectedToAll());
+    reply.set_complete(m_keeper.reader().knowsAllTurns() && m_hearsAllTurns());
     reply.set_incarnation(m_state.self().value());
     for (const turns::KeptTurn &kept : m_state.turns().chain(turns::TurnId(message.turn_id()))) {
         *reply.add_turns() = toRecord(kept);
--- a/basilhall/gateway/internal/peer_requests.h
+++ b/basilhall/gateway/internal/peer_requests.h
@@ -1,6 +1,6 @@
 // Answers what peers ask: to keep records, to admit a turn, for a turn.
 //
-//     PeerRequests requests(self, state, keeper, log, isConnectedToAll);
+//     PeerRequests requests(self, state, keeper, log, hearsAllTurns);
 //     co_await requests.serve(stream);
 #pragma once
 
@@ -30,9 +30,10 @@
 class PeerRequests
 {
 public:
-    // `sendNews` tells all peers at once what has changed.
+    // `hearsAllTurns` is true if this process hears each turn that any gateway keeps; `sendNews`
+    // tells all peers at once what has changed.
     PeerRequests(FleetState &state, TurnKeeper &keeper, logging::Log log,
-                 std::function<bool()> isConnectedToAll, std::function<void()> sendNews);
+                 std::function<bool()> hearsAllTurns, std::function<void()> sendNews);
 
     // Answers one request; one that is malformed or unknown is dropped with a log line.
     boost::asio::awaitable<void> serve(std::shared_ptr<transport::ServerStream> stream);
@@ -45,7 +46,7 @@
     FleetState &m_state;
     TurnKeeper &m_keeper;
     logging::Log m_log;
-    std::function<bool()> m_isConnectedToAll;
+    std::function<bool()> m_hearsAllTurns;
     std::function<void()> m_sendNews;
 };
 
--- a/basilhall/gateway/journal_reader.cpp
+++ b/basilhall/gateway/journal_reader.cpp
@@ -236,6 +236,11 @@
     return d->hasRead;
 }
 
+void JournalReader::forgetRead()
+{
+    d->hasRead = false;
+}
+
 bool JournalReader::knowsAllTurns() const
 {
     return d->hasRead && d->lostPeers.empty();
--- a/basilhall/gateway/journal_reader.h
+++ b/basilhall/gateway/journal_reader.h
@@ -45,6 +45,8 @@
     void noteLostPeer(const Incarnation &peer, std::uint64_t heard);
     // True once loadTurns() has succeeded.
     bool hasRead() const;
+    // Turns have been missed, or will be: loadTurns() has to run again.
+    void forgetRead();
     // True if also the journals of peers that were lost since have been read.
     bool knowsAllTurns() const;
 
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -11,6 +11,7 @@
 #include "basilhall/transport/stream_client.h"
 #include "basilhall/transport/stream_server.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -31,17 +32,24 @@
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 const std::string kUpdatesMethod = "/updates";
+const std::string kWantMethod = "/want";
+// News is this old at most on a fleet of kSmallFleet; placement and limits count with it.
+constexpr Duration kSmallBeat = std::chrono::milliseconds(100);
+constexpr Duration::rep kSmallFleet = 6;
+// Longer than this, limits would be overshot by what all gateways admit meanwhile.
+constexpr Duration kLongestBeat = std::chrono::milliseconds(300);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 constexpr Duration kReconnectPause = std::chrono::milliseconds(250);
-// A peer that is silent for six beats counts as not heard, so that limits are split in time.
-constexpr Duration kHeardWithin = std::chrono::milliseconds(600);
+// A peer that is silent for so many beats counts as not heard, so that limits are split in time.
+constexpr int kHeardBeats = 6;
+constexpr Duration kHeardAtMost = std::chrono::milliseconds(1000);
 // Time for the home of a program to answer; the way there and back takes a few milliseconds.
 constexpr Duration kAskTimeout = std::chrono::milliseconds(400);
 // Time for the gateway that writes to make records durable: two of its batches and a slow answer of
 // the object API. Beyond that a gateway writes itself.
 constexpr Duration kCommitTimeout = std::chrono::milliseconds(250);
-// Batches of a peer are remembered for longer than a silent peer is taken for connected.
-constexpr Duration kBatchMemory = std::chrono::seconds(5);
+// Batches of a peer are remembered for as long as the users' routes keep turns.
+constexpr Duration kBatchMemory = std::chrono::seconds(60);
 // Messages that wait for a slow subscriber; beyond that its stream is reset and begins anew.
 constexpr std::size_t kMaxQueued = 2000;
 // Processor that a gateway needs to write the journal of a large fleet besides its own work:
@@ -71,6 +79,8 @@
 
     std::deque<std::shared_ptr<const std::string>> queue;
     transport::Signal wake;
+    Incarnation incarnation;
+    bool wantsTurns = false;
     bool isGone = false;
 };
 
@@ -79,8 +89,9 @@
     Instant heardAt = Instant::min();
     Instant listedAt = Instant::min();
     bool isConnected = false;
-    // It has been heard before.
-    bool wasConnected = false;
+    // It knows that this gateway wants turns.
+    bool sendsTurns = false;
+    bool isBeingTold = false;
     // Turns of its journal up to this batch have been heard.
     std::uint64_t durableBatch = 0;
     // It knows what was spent before it started.
@@ -107,7 +118,7 @@
         , onPolicy(std::move(policyHandler))
         , onMember(std::move(memberHandler))
         , requests(
-              st, k, log, [this] { return isConnectedToAll(); }, [this] { flush(); })
+              st, k, log, [this] { return hearsAllTurns(); }, [this] { flush(); })
         , client(e, kKeepAlive)
     {
     }
@@ -133,6 +144,8 @@
         }
         if (stream->method() == kUpdatesMethod) {
             co_await serveUpdates(self, stream);
+        } else if (stream->method() == kWantMethod) {
+            co_await self->serveWant(stream);
         } else {
             co_await self->requests.serve(stream);
         }
@@ -152,6 +165,8 @@
             self->onMember(member.value());
         }
         const auto subscriber = std::make_shared<Subscriber>(self->executor);
+        subscriber->incarnation = Incarnation(request.member().incarnation());
+        subscriber->wantsTurns = request.wants_turns();
         stream->onCancelled([weak = std::weak_ptr<Subscriber>(subscriber)] {
             if (const auto alive = weak.lock()) {
                 alive->isGone = true;
@@ -175,6 +190,100 @@
         self->subscribers.erase(subscriber);
     }
 
+    asio::awaitable<void> serveWant(std::shared_ptr<transport::ServerStream> stream)
+    {
+        wire::WantRequest request;
+        if (!request.ParseFromString(stream->request())) {
+            log.warning("Dropped a malformed request of a peer.");
+            co_return;
+        }
+        for (const auto &subscriber : subscribers) {
+            if (subscriber->incarnation.value() == request.incarnation()) {
+                subscriber->wantsTurns = request.wants_turns();
+            }
+        }
+        wire::WantReply reply;
+        reply.set_incarnation(self.incarnation.value());
+        const Result<void> sent = co_await stream->send(reply.SerializeAsString());
+        if (sent) {
+            (void)co_await stream->finish();
+        }
+    }
+
+    // Tells a peer whether this gateway wants turns.
+    static asio::awaitable<void> tellWant(std::shared_ptr<Private> self, std::shared_ptr<Peer> peer)
+    {
+        wire::WantRequest request;
+        request.set_incarnation(self->self.incarnation.value());
+        request.set_wants_turns(self->isHolder);
+        const bool wanted = self->isHolder;
+        peer->isBeingTold = true;
+        const auto message = co_await self->askOnce(peer->member.address, kWantMethod,
+                                                    request.SerializeAsString(), kAskTimeout);
+        peer->isBeingTold = false;
+        wire::WantReply reply;
+        if (message && reply.ParseFromString(*message)
+            && reply.incarnation() == peer->member.incarnation.value()) {
+            peer->sendsTurns = wanted;
+        }
+    }
+
+    // Takes note of whether this gateway is a holder now, and tells the peers.
+    void updateHolder()
+    {
+        const bool shouldHold = isHolderAmong(self);
+        if (shouldHold != isHolder) {
+            isHolder = shouldHold;
+            log.info(isHolder ? logging::Literal("Holds the turns of all gateways.")
+                              : logging::Literal("Holds its own turns alone."),
+                     Field("members", peers.size() + 1));
+            keeper.reader().forgetRead();
+        }
+        for (const auto &[host, peer] : peers) {
+            if (peer->isConnected && peer->sendsTurns != isHolder && !peer->isBeingTold) {
+                asio::co_spawn(executor, tellWant(shared_from_this(), peer), asio::detached);
+            }
+        }
+    }
+
+    bool isHolderAmong(const Member &member) const
+    {
+        const auto isStronger = [&member](const Member &other) {
+            return other.failureDomain == member.failureDomain && other.host != member.host
+                && isBefore(other, member);
+        };
+        if (isStronger(self)) {
+            return false;
+        }
+        return std::none_of(peers.begin(), peers.end(), [&isStronger](const auto &entry) {
+            return isStronger(entry.second->member);
+        });
+    }
+
+    // Hears every turn that a gateway keeps.
+    bool hearsAllTurns() const
+    {
+        return isHolder && std::all_of(peers.begin(), peers.end(), [](const auto &entry) {
+                   return entry.second->isConnected && entry.second->sendsTurns;
+               });
+    }
+
+    // All peers, in the order in which one that holds a turn is found soonest.
+    std::vector<std::shared_ptr<Peer>> likelyHolders() const
+    {
+        std::vector<std::shared_ptr<Peer>> sorted;
+        for (const auto &[host, peer] : peers) {
+            sorted.push_back(peer);
+        }
+        const auto distance = [this](const std::shared_ptr<Peer> &peer) {
+            const bool isNear = peer->member.failureDomain == self.failureDomain;
+            return isHolderAmong(peer->member) ? (isNear ? 0 : 1) : 2;
+        };
+        std::stable_sort(sorted.begin(), sorted.end(),
+                         [&](const auto &a, const auto &b) { return distance(a) < distance(b); });
+        return sorted;
+    }
+
     // Sends one request and returns its one reply, if it comes in time.
     asio::awaitable<std::optional<std::string>> askOnce(Address address, std::string method,
                                                         std::string request, Duration timeout)
@@ -285,6 +394,9 @@
     {
         const auto message = std::make_shared<const std::string>(update.SerializeAsString());
         for (const auto &subscriber : subscribers) {
+            if (update.turns_size() > 0 && !subscriber->wantsTurns) {
+                continue;
+            }
             if (subscriber->queue.size() >= kMaxQueued) {
                 subscriber->isGone = true;
             } else {
@@ -300,6 +412,7 @@
         addNews(state, update);
         broadcast(update);
         updateShare();
+        updateHolder();
     }
 
     bool isConnectedToAll() const
@@ -312,9 +425,16 @@
         return true;
     }
 
+    Duration beat() const
+    {
+        const auto members = static_cast<Duration::rep>(peers.size() + 1);
+        return std::clamp<Duration>(kSmallBeat * members / kSmallFleet, kSmallBeat, kLongestBeat);
+    }
+
     bool isHeard(const Peer &peer) const
     {
-        return peer.isConnected && now() - peer.heardAt <= kHeardWithin;
+        return peer.isConnected
+            && now() - peer.heardAt <= std::min<Duration>(kHeardBeats * beat(), kHeardAtMost);
     }
 
     void updateShare()
@@ -335,6 +455,8 @@
             wire::Subscribe request;
             *request.mutable_member() = toWire(self->self);
             request.set_wants_ledger(self->takeLedgerRequest());
+            request.set_wants_turns(self->isHolder);
+            peer->sendsTurns = self->isHolder;
             auto stream = co_await self->client.open(peer->member.address, kUpdatesMethod,
                                                      request.SerializeAsString(), kConnectTimeout);
             if (stream) {
@@ -405,10 +527,8 @@
             }
             if (!peer->isConnected) {
                 peer->isConnected = true;
-                if (peer->wasConnected || self->keeper.reader().knowsAllTurns()) {
-                    self->noteMissedTurns(*peer);
-                }
-                peer->wasConnected = true;
+                // Turns that were announced without a connection were not heard.
+                self->noteMissedTurns(*peer);
                 self->log.info("Hears a peer.", Field("peer", peer->member.host),
                                Field("incarnation", peer->member.incarnation));
             }
@@ -468,6 +588,7 @@
     std::unordered_set<std::shared_ptr<Subscriber>> subscribers;
     PolicyDocument policy;
     std::size_t ledgerRequests = 0;
+    bool isHolder = false;
     bool isClosed = false;
 };
 
@@ -535,14 +656,40 @@
 }
 
 std::size_t PeerMesh::rank() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(d->peers.begin(), d->peers.end(),
+                      [this](const auto &entry) { return entry.first < d->self.host; }));
+}
+
+bool PeerMesh::isHolder() const
+{
+    return d->isHolder;
+}
+
+std::size_t PeerMesh::holderCount() const
+{
+    std::size_t count = d->isHolder ? 1 : 0;
+    for (const auto &[host, peer] : d->peers) {
+        count += d->isHolderAmong(peer->member) ? 1 : 0;
+    }
+    return count;
+}
+
+std::size_t PeerMesh::holderRank() const
 {
     std::size_t before = 0;
     for (const auto &[host, peer] : d->peers) {
-        before += host < d->self.host ? 1 : 0;
+        before += host < d->self.host && d->isHolderAmong(peer->member) ? 1 : 0;
     }
     return before;
 }
 
+Duration PeerMesh::beat() const
+{
+    return d->beat();
+}
+
 std::set<Incarnation> PeerMesh::liveIncarnations() const
 {
     std::set<Incarnation> live{d->self.incarnation};
@@ -588,12 +735,9 @@
     wire::TurnRequest request;
     request.set_turn_id(id.value());
     const std::string bytes = request.SerializeAsString();
-    std::vector<std::shared_ptr<Peer>> asked;
-    for (const auto &[host, peer] : self->peers) {
-        asked.push_back(peer);
-    }
+    const std::vector<std::shared_ptr<Peer>> asked = self->likelyHolders();
     bool haveAllAnswered = true;
-    bool isOneComplete = false;
+    bool isOneComplete = self->keeper.reader().knowsAllTurns() && self->hearsAllTurns();
     for (const auto &peer : asked) {
         std::optional<std::string> message;
         if (peer->isConnected) {
@@ -625,6 +769,13 @@
     return d->isConnectedToAll();
 }
 
+bool PeerMesh::isToldOfTurns() const
+{
+    return d->isHolder && std::all_of(d->peers.begin(), d->peers.end(), [](const auto &entry) {
+               return !entry.second->isConnected || entry.second->sendsTurns;
+           });
+}
+
 bool PeerMesh::hasLoadedPeer() const
 {
     for (const auto &[host, peer] : d->peers) {
--- a/basilhall/gateway/peer_mesh.h
+++ b/basilhall/gateway/peer_mesh.h
@@ -58,16 +58,25 @@
     std::size_t memberCount() const;
     // Number of members whose name comes before the own one.
     std::size_t rank() const;
+    // True if this gateway is the strongest of its failure domain. It then holds the turns of all
+    // gateways, for those that do not; all of them together are the holders.
+    bool isHolder() const;
+    std::size_t holderCount() const;
+    // Number of holders whose name comes before the own one.
+    std::size_t holderRank() const;
     std::size_t heardCount() const;
     // Of all members and this one.
     std::set<Incarnation> liveIncarnations() const;
 
-    // Sends a turn to all subscribers at once.
+    // Sends a turn to all holders at once.
     void announce(const journal::TurnKept &turn);
     // Sends the version in force to all subscribers at once, and to each that subscribes later.
     void publish(PolicyDocument document);
-    // Sends what has changed in the state; called by the owner at least every kBeat.
+    // Sends what has changed in the state; called by the owner every beat().
     void flush();
+    // Time between two updates to a subscriber, also without news. Grows with the members, so that
+    // the work of each does not.
+    Duration beat() const;
 
     // Asks the home of the turn's program to admit it; a program whose home is gone gets a new one.
     // Elsewhere if the home has changed: ask the ledger again. Unavailable if it does not answer.
@@ -76,6 +85,8 @@
     // Asks the members for a turn and its chain, which the keeper then knows.
     boost::asio::awaitable<TurnSearch> findTurn(turns::TurnId id);
     bool isConnectedToAll() const;
+    // True if every connected member sends this holder the turns that it keeps.
+    bool isToldOfTurns() const;
     // True if a heard member has told all that was kept before.
     bool hasLoadedPeer() const;
     // Asks the gateway that writes for the fleet or the failure domain to keep the records, if it
@@ -86,9 +97,6 @@
 
     void close();
 
-    // Time between two updates to a subscriber, also without news.
-    static constexpr Duration kBeat = std::chrono::milliseconds(100);
-
 private:
     class Private;
     std::shared_ptr<Private> d;
--- a/basilhall/gateway/peer_mesh_test.cpp
+++ b/basilhall/gateway/peer_mesh_test.cpp
@@ -111,6 +111,30 @@
         return result;
     }
 
+    // Lets all nodes send their news until the condition holds.
+    void beatUntil(const std::function<bool()> &condition)
+    {
+        runCoroutine(context, [&]() -> asio::awaitable<void> {
+            asio::steady_timer pause(context);
+            while (!condition()) {
+                for (const auto &node : {strong, middle, weak}) {
+                    node->mesh.flush();
+                }
+                pause.expires_after(5ms);
+                (void)co_await pause.async_wait(kTuple);
+            }
+        });
+    }
+
+    Result<std::string> prompt(Node &node, const std::string &previous)
+    {
+        Result<std::string> result = std::string();
+        runCoroutine(context, [&]() -> asio::awaitable<void> {
+            result = co_await node.keeper.prompt(turns::TurnId(previous), kTeam, "next");
+        });
+        return result;
+    }
+
     Result<turns::Admission> askHome(Node &node, const turns::TurnBudget &asked)
     {
         Result<turns::Admission> result = turns::Admission::Orphaned;
@@ -182,6 +206,40 @@
     }
 }
 
+// Turns go to the strongest gateway of a failure domain alone; the others ask it.
+BOOST_AUTO_TEST_CASE(aTurnIsFoundAtTheHolder)
+{
+    connect();
+    beatUntil([this] { return strong->mesh.isToldOfTurns() && !weak->mesh.isHolder(); });
+    BOOST_TEST(strong->mesh.isHolder());
+    BOOST_TEST(!middle->mesh.isHolder());
+    BOOST_TEST(middle->mesh.holderCount() == 1U);
+    BOOST_TEST(keep(*middle, turn("t1")).has_value());
+    BOOST_TEST(!weak->state.turns().contains(turns::TurnId("t1")));
+    const auto found = prompt(*weak, "t1");
+    BOOST_TEST((found && found.value() == "inoutnext"));
+}
+
+// A holder that has not read what was kept before cannot say that a turn does not exist; one that
+// has can.
+BOOST_AUTO_TEST_CASE(onlyAHolderThatHasReadTheJournalsMakesATurnUnknown)
+{
+    connect();
+    beatUntil([this] { return strong->mesh.isToldOfTurns() && !weak->mesh.isHolder(); });
+    const auto early = prompt(*weak, "none");
+    BOOST_TEST((!early && early.error().kind() == ErrorKind::Unavailable));
+    runCoroutine(context, [&]() -> asio::awaitable<void> {
+        const Result<void> read = co_await strong->keeper.reader().loadTurns(0, 1);
+        BOOST_TEST(read.has_value());
+    });
+    const auto sure = prompt(*weak, "none");
+    BOOST_TEST((!sure && sure.error().kind() == ErrorKind::NotFound));
+    // Turns of a gateway that has come since may stand in a journal only.
+    strong->mesh.setMembers({weak->mesh.member()});
+    const auto unsure = prompt(*weak, "none");
+    BOOST_TEST((!unsure && unsure.error().kind() == ErrorKind::Unavailable));
+}
+
 BOOST_AUTO_TEST_CASE(theHomeCoversATurnBeforeTheNext)
 {
     connect();
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -43,7 +43,7 @@
 constexpr Duration kRelayRetry = std::chrono::seconds(1);
 // The journals are read within seconds of a start; a turn comes up at any moment of it.
 constexpr Duration kReadingWait = std::chrono::milliseconds(500);
-constexpr Duration kReadingCheck = std::chrono::milliseconds(50);
+constexpr Duration kReadingCheck = std::chrono::milliseconds(120);
 constexpr Duration kReadingRetry = std::chrono::milliseconds(700);
 // Time to come back after a refusal for lack of the object API.
 constexpr Duration kStoreRetry = std::chrono::milliseconds(500);
@@ -314,7 +314,7 @@
         }
     }
 
-    // Waits a moment for the reading of the journals to come to the turn.
+    // Waits a moment for a gateway that holds all turns, this one or a peer, to have read them.
     static asio::awaitable<Result<std::string>> awaitPrompt(std::shared_ptr<Private> self,
                                                             turns::TurnId previous, TeamName team,
                                                             std::string input)
@@ -324,12 +324,16 @@
         while (now() < deadline) {
             pause.expires_after(kReadingCheck);
             (void)co_await pause.async_wait(kTuple);
+            TurnSearch search = TurnSearch::Unsure;
+            if (self->searchPeers && !self->state.turns().contains(previous)) {
+                search = co_await self->searchPeers(previous);
+            }
             auto made = self->state.turns().prompt(previous, team, input);
-            if (made) {
+            if (made || search == TurnSearch::Unknown) {
                 co_return made;
             }
         }
-        co_return Error(ErrorKind::Unavailable, "the gateway still reads the journals")
+        co_return Error(ErrorKind::Unavailable, "no gateway knows all kept turns yet")
             .withNotRun()
             .withRetryAfter(kReadingRetry);
     }
@@ -490,9 +494,7 @@
         search = co_await self->searchPeers(previous);
     }
     made = self->state.turns().prompt(previous, team, input);
-    const bool isSure = search == TurnSearch::Unknown
-        || (search == TurnSearch::UnknownToPeers && self->reader.knowsAllTurns());
-    if (made || isSure) {
+    if (made || search == TurnSearch::Unknown) {
         co_return made;
     }
     if (!self->reader.hasRead()) {
