--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -377,6 +377,9 @@
                     .withNotRun();
             }
             if (admission == turns::Admission::NeedsRecord) {
+                if (!m_keeper.isKeeping()) {
+                    break;
+                }
                 const Result<void> covered = co_await m_keeper.cover(call.program, kCoverTimeout);
                 if (!covered) {
                     break;
@@ -533,10 +536,8 @@
             turn.input = context->exchange->request().body;
             turn.output = std::move(context->output);
             turn.keptUntil = MonotonicClock().wallMillis() + keptMillis(*context->route);
-            const ProgramId program =
-                context->call.tokenBudget ? context->call.program : ProgramId();
-            const Result<void> kept = co_await m_keeper.keep(
-                std::move(turn), program, std::max(timeLeft(*context), Duration::zero()));
+            const Duration left = std::max(timeLeft(*context), Duration::zero());
+            const Result<void> kept = co_await m_keeper.keep(std::move(turn), left);
             if (!kept) {
                 co_return kept;
             }
--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -29,6 +29,9 @@
 // may be that of a host that is gone.
 constexpr Duration kMeetWait = std::chrono::seconds(3);
 constexpr Duration kPeerCheck = std::chrono::milliseconds(20);
+// Time to let the holders read the ledgers, one for a failure domain instead of all gateways; they
+// take about a second.
+constexpr Duration kHolderWait = std::chrono::seconds(6);
 // Pause between looks whether journals have to be read, while peers answer for them.
 constexpr Duration kBackgroundRetry = std::chrono::seconds(1);
 constexpr Duration kLoadRetry = std::chrono::milliseconds(200);
@@ -140,40 +143,51 @@
             (void)co_await pause.async_wait(kTuple);
         }
         bool isLogged = false;
-        while (!self->mesh.hasLoadedPeer()) {
-            const Result<void> done = co_await self->keeper.reader().loadLedgers();
-            if (done) {
+        bool isAnew = false;
+        while (true) {
+            const bool isLearned = co_await self->mesh.learnLedger();
+            if (isLearned) {
                 break;
             }
-            if (!std::exchange(isLogged, true)) {
-                self->log.warning("Cannot read the ledgers yet.", Field("reason", done.error()));
+            const bool isReader = self->mesh.isHolder() || now() - begun > kHolderWait;
+            Result<void> done = success();
+            if (isReader) {
+                done = co_await self->keeper.reader().loadLedgers();
+                if (done) {
+                    // A peer that knows by now has admitted turns since.
+                    const bool isToldBesides = co_await self->mesh.learnLedger();
+                    isAnew = !isToldBesides;
+                    break;
+                }
+                if (!std::exchange(isLogged, true)) {
+                    self->log.warning("Cannot read the ledgers yet.",
+                                      Field("reason", done.error()));
+                }
             }
-            pause.expires_after(kLoadRetry);
+            pause.expires_after(isReader ? kLoadRetry : kPeerCheck);
             (void)co_await pause.async_wait(kTuple);
         }
         // Without a peer that knows, all choose new homes of the programs: they have to know each
         // other.
-        const bool isAnew = !self->mesh.hasLoadedPeer();
         while (isAnew && now() - begun < kMeetWait && !self->mesh.isConnectedToAll()) {
             pause.expires_after(kPeerCheck);
             (void)co_await pause.async_wait(kTuple);
         }
         self->keeper.setLoaded();
         self->log.info("Knows what was kept.", Field("turns", self->state.turns().size()),
-                       Field("programs", self->state.budgets().size()),
-                       Field("from_peer", self->mesh.hasLoadedPeer()),
+                       Field("programs", self->state.budgets().size()), Field("from_peer", !isAnew),
                        Field("after", now() - begun));
         while (!self->isStopped) {
             // Peers may forget turns of before when they restart in turn.
             if (self->mesh.isToldOfTurns() && !self->keeper.reader().hasRead()) {
-                const Result<void> done = co_await self->keeper.reader().loadTurns(
-                    self->mesh.holderRank(), self->mesh.holderCount());
+                const Result<void> done = co_await self->keeper.reader().loadTurns();
                 if (!done) {
                     self->log.warning("Cannot read the journals yet.",
                                       Field("reason", done.error()));
                 }
-            } else if (self->mesh.isHolder() && !self->keeper.reader().knowsAllTurns()) {
-                // A failure shows when a turn is looked up; the next round tries again.
+            } else if (self->mesh.isHolder() && !self->keeper.reader().lostPeers().empty()
+                       && self->keeper.isKeeping()) {
+                // Soon, so that there is little to read. The next round tries again.
                 (void)co_await self->keeper.reader().refresh();
             }
             pause.expires_after(kBackgroundRetry);
--- a/basilhall/gateway/internal/peer_requests.cpp
+++ b/basilhall/gateway/internal/peer_requests.cpp
@@ -34,12 +34,14 @@
 } // namespace
 
 PeerRequests::PeerRequests(FleetState &state, TurnKeeper &keeper, logging::Log log,
-                           std::function<bool()> hearsAllTurns, std::function<void()> sendNews)
+                           std::function<bool()> hearsAllTurns, std::function<void()> sendNews,
+                           std::function<JournalMarks()> journalMarks)
     : m_state(state)
     , m_keeper(keeper)
     , m_log(std::move(log))
     , m_hearsAllTurns(std::move(hearsAllTurns))
     , m_sendNews(std::move(sendNews))
+    , m_journalMarks(std::move(journalMarks))
 {
 }
 
@@ -52,6 +54,10 @@
         reply = co_await admit(stream->request());
     } else if (stream->method() == kTurnMethod) {
         reply = turn(stream->request());
+    } else if (stream->method() == kLedgerMethod && m_keeper.isLoaded()) {
+        reply = ledger();
+    } else if (stream->method() == kLedgerMethod) {
+        co_return;
     }
     if (reply.empty()) {
         m_log.warning("Dropped a malformed request of a peer.");
@@ -90,12 +96,26 @@
     turn.most = message.most_tokens();
     const Incarnation asker(message.asker_incarnation());
     wire::AdmitReply reply;
+    reply.set_incarnation(m_state.self().value());
     reply.set_verdict(wire::ADMIT_VERDICT_ELSEWHERE);
     for (std::uint32_t round = 0; m_keeper.isLoaded() && round < kAdmissionRounds; ++round) {
         turns::BudgetLedger &budgets = m_state.budgets();
-        const bool wasHome = budgets.home(turn.program) == m_state.self();
+        if (budgets.isOrphan(turn.program) && !m_keeper.reader().lostPeers().empty()) {
+            // The home that is gone may have written what was not heard.
+            Result<void> read = Error(ErrorKind::StoreUnavailable, "journals cannot be read now");
+            if (m_keeper.isKeeping()) {
+                read = co_await m_keeper.reader().refresh();
+            }
+            if (!read) {
+                m_log.info("A program cannot get a new home yet.", Field("program", turn.program),
+                           Field("reason", read.error()));
+                reply.set_verdict(wire::ADMIT_VERDICT_UNSPECIFIED);
+                break;
+            }
+        }
+        const bool isTakenOver = budgets.knows(turn.program) && budgets.isOrphan(turn.program);
         const turns::Admission admission = budgets.grant(asker, turn, MonotonicClock().now());
-        if (!wasHome && budgets.home(turn.program) == m_state.self()) {
+        if (isTakenOver) {
             m_log.info("Becomes the home of a program.", Field("program", turn.program));
             m_sendNews();
         }
@@ -106,7 +126,10 @@
             }
             break;
         }
-        const Result<void> covered = co_await m_keeper.cover(turn.program, kKeepTimeout);
+        Result<void> covered = Error(ErrorKind::StoreUnavailable, "records are not taken now");
+        if (m_keeper.isKeeping()) {
+            covered = co_await m_keeper.cover(turn.program, kKeepTimeout);
+        }
         if (!covered) {
             m_log.info("A turn waits for a record of what was admitted before.",
                        Field("program", turn.program), Field("reason", covered.error()));
@@ -126,8 +149,29 @@
     wire::TurnReply reply;
     reply.set_complete(m_keeper.reader().knowsAllTurns() && m_hearsAllTurns());
     reply.set_incarnation(m_state.self().value());
-    for (const turns::KeptTurn &kept : m_state.turns().chain(turns::TurnId(message.turn_id()))) {
-        *reply.add_turns() = toRecord(kept);
+    const turns::TurnId id(message.turn_id());
+    if (m_state.turns().hasWholeChain(id)) {
+        for (const turns::KeptTurn &kept : m_state.turns().chain(id)) {
+            *reply.add_turns() = toRecord(kept);
+        }
+    } else if (m_state.turns().contains(id)) {
+        // It exists; what came before it is still being read.
+        reply.set_complete(false);
+    }
+    return reply.SerializeAsString();
+}
+
+std::string PeerRequests::ledger() const
+{
+    wire::LedgerReply reply;
+    reply.mutable_ledger()->set_incarnation(m_state.self().value());
+    for (const auto &[home, report] : m_state.budgets().summary()) {
+        *reply.mutable_ledger()->add_spends() = toRecord(home, report);
+    }
+    for (const auto &[incarnation, batch] : m_journalMarks()) {
+        wire::JournalMark &mark = *reply.add_journals();
+        mark.set_incarnation(incarnation.value());
+        mark.set_batch(batch);
     }
     return reply.SerializeAsString();
 }
--- a/basilhall/gateway/journal_reader.cpp
+++ b/basilhall/gateway/journal_reader.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace basilhall::gateway
 {
@@ -17,6 +18,14 @@
 namespace asio = boost::asio;
 using logging::Field;
 
+namespace
+{
+
+// Batches of one journal that are read at once; a journal's end is 2 s of 25 batches at most.
+constexpr std::size_t kReadWindow = 8;
+
+} // namespace
+
 class JournalReader::Private : public std::enable_shared_from_this<JournalReader::Private>
 {
 public:
@@ -103,32 +112,77 @@
         co_return snapshots;
     }
 
-    // Reads the batches of one journal after `heard`.
+    // Executes the requests at once.
+    asio::awaitable<std::vector<store::Outcome>> executeAll(std::vector<store::Request> requests)
+    {
+        auto results =
+            std::make_shared<std::vector<std::optional<store::Outcome>>>(requests.size());
+        auto missing = std::make_shared<std::size_t>(requests.size());
+        auto done = std::make_shared<transport::Signal>(executor);
+        for (std::size_t i = 0; i < requests.size(); ++i) {
+            access(std::move(requests[i]), [=](const store::Outcome &outcome) {
+                (*results)[i] = outcome;
+                if (--*missing == 0) {
+                    done->notify();
+                }
+            });
+        }
+        while (*missing > 0) {
+            co_await done->wait();
+        }
+        std::vector<store::Outcome> outcomes;
+        for (std::optional<store::Outcome> &result : *results) {
+            outcomes.push_back(std::move(*result));
+        }
+        co_return outcomes;
+    }
+
+    // Reads the batches of one journal after `heard`, by their names: a list goes on with the
+    // journals after it, and most have none to read.
     static asio::awaitable<Result<void>>
     readJournal(std::shared_ptr<Private> self, Incarnation incarnation, journal::BatchNumber heard)
     {
-        store::List rest{journal::kJournalKind, incarnation.value() + ".",
-                         journal::batchKey(incarnation, heard).name};
-        co_return co_await read(self, std::move(rest));
+        const auto known = self->rangesRead.find(incarnation);
+        if (known != self->rangesRead.end() && heard >= known->second.first) {
+            heard = std::max(heard, known->second.last);
+        }
+        Range &range = self->rangesRead[incarnation];
+        if (heard != range.last) {
+            range = {heard, heard};
+        }
+        std::size_t window = 1;
+        while (true) {
+            std::vector<store::Request> requests;
+            for (std::size_t i = 1; i <= window; ++i) {
+                requests.emplace_back(store::Read{journal::batchKey(incarnation, heard + i)});
+            }
+            heard += window;
+            const auto outcomes = co_await self->executeAll(std::move(requests));
+            for (const store::Outcome &outcome : outcomes) {
+                if (!outcome) {
+                    const bool isEnd = outcome.error().kind() == ErrorKind::NotFound;
+                    co_return isEnd ? Result<void>(success()) : Result<void>(outcome.error());
+                }
+                for (const store::Object &object : outcome.value()) {
+                    self->take(object);
+                }
+                ++range.last;
+            }
+            window = std::min(window * 2, kReadWindow);
+        }
     }
 
-    static asio::awaitable<Result<void>> readAll(std::shared_ptr<Private> self, std::size_t rank,
-                                                 std::size_t readers)
+    static asio::awaitable<Result<void>> readAll(std::shared_ptr<Private> self)
     {
         const auto lost = self->lostPeers;
         const auto snapshots = co_await readLedgers(self);
         if (!snapshots) {
             co_return snapshots.error();
         }
-        const std::size_t count = snapshots.value().size();
-        for (std::size_t step = 0; step < readers; ++step) {
-            for (std::size_t i = (rank + step) % readers; i < count; i += readers) {
-                const Result<void> done =
-                    co_await readJournal(self, snapshots.value()[i].incarnation, 0);
-                if (!done) {
-                    co_return done;
-                }
-            }
+        store::List all{journal::kJournalKind, ""};
+        const Result<void> done = co_await read(self, std::move(all));
+        if (!done) {
+            co_return done;
         }
         self->hasRead = true;
         for (const auto &[peer, heard] : lost) {
@@ -178,6 +232,12 @@
     JournalJanitor janitor{state.turns()};
     // Peers whose memory is gone, and the last batch of each that was heard.
     std::map<Incarnation, journal::BatchNumber> lostPeers;
+    // Batches after `first` up to `last` that were read one by one.
+    struct Range {
+        journal::BatchNumber first = 0;
+        journal::BatchNumber last = 0;
+    };
+    std::map<Incarnation, Range> rangesRead;
     bool hasRead = false;
     std::uint64_t refreshesBegun = 0;
     bool isRefreshing = false;
@@ -213,10 +273,10 @@
     co_return success();
 }
 
-asio::awaitable<Result<void>> JournalReader::loadTurns(std::size_t rank, std::size_t readers)
+asio::awaitable<Result<void>> JournalReader::loadTurns()
 {
     const auto self = d;
-    co_return co_await Private::readAll(self, rank, readers);
+    co_return co_await Private::readAll(self);
 }
 
 asio::awaitable<Result<void>> JournalReader::refresh()
@@ -231,6 +291,11 @@
     at->second = std::min(at->second, heard);
 }
 
+const std::map<Incarnation, std::uint64_t> &JournalReader::lostPeers() const
+{
+    return d->lostPeers;
+}
+
 bool JournalReader::hasRead() const
 {
     return d->hasRead;
--- a/basilhall/gateway/journal_reader.h
+++ b/basilhall/gateway/journal_reader.h
@@ -16,6 +16,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
 #include <vector>
@@ -35,14 +36,15 @@
 
     // Reads what all gateways have handed out: their ledgers, and the ends of their journals.
     boost::asio::awaitable<Result<void>> loadLedgers();
-    // Reads all journals, those first whose place in the order of names leaves `rank` when divided
-    // by `readers`: gateways that read at once begin with different ones.
-    boost::asio::awaitable<Result<void>> loadTurns(std::size_t rank, std::size_t readers);
+    // Reads all journals.
+    boost::asio::awaitable<Result<void>> loadTurns();
     // Reads the ends of the journals of lost peers, beginning after the call.
     boost::asio::awaitable<Result<void>> refresh();
 
     // A peer is gone whose turns up to the batch `heard` of its journal were heard.
     void noteLostPeer(const Incarnation &peer, std::uint64_t heard);
+    // Journals that hold more than was heard, each with the last batch that was.
+    const std::map<Incarnation, std::uint64_t> &lostPeers() const;
     // True once loadTurns() has succeeded.
     bool hasRead() const;
     // Turns have been missed, or will be: loadTurns() has to run again.
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -43,11 +43,24 @@
 // A peer that is silent for so many beats counts as not heard, so that limits are split in time.
 constexpr int kHeardBeats = 6;
 constexpr Duration kHeardAtMost = std::chrono::milliseconds(1000);
-// Time for the home of a program to answer; the way there and back takes a few milliseconds.
+// Time for the home of a program to make a record durable and to answer.
+constexpr Duration kAdmitTimeout = std::chrono::milliseconds(900);
+// Time for a peer to answer from memory; the way there and back takes a few milliseconds.
 constexpr Duration kAskTimeout = std::chrono::milliseconds(400);
-// Time for the gateway that writes to make records durable: two of its batches and a slow answer of
-// the object API. Beyond that a gateway writes itself.
-constexpr Duration kCommitTimeout = std::chrono::milliseconds(250);
+// Time for the gateway that writes to make records durable; beyond that a gateway writes itself. A
+// writer that catches up after an outage takes 200 ms a batch, and a record waits for two and a
+// half: writing them once more would only add to its work.
+constexpr Duration kCommitTimeout = std::chrono::milliseconds(700);
+// Writers that are asked for one record: if two failure domains cannot write, the object API is
+// away.
+constexpr std::size_t kWriterTries = 2;
+// Pause before a writer that did not take records is asked again.
+constexpr Duration kWriterRetry = std::chrono::seconds(1);
+// Peers that a gateway asks to write for it, if it is cut off from the object API itself.
+constexpr std::size_t kRelayTries = 3;
+// A process that starts is listed by all that it reaches within a few milliseconds; a second for
+// one that was cut off for a moment, doubled.
+constexpr Duration kListingDelay = std::chrono::seconds(2);
 // Batches of a peer are remembered for as long as the users' routes keep turns.
 constexpr Duration kBatchMemory = std::chrono::seconds(60);
 // Messages that wait for a slow subscriber; beyond that its stream is reset and begins anew.
@@ -55,8 +68,8 @@
 // Processor that a gateway needs to write the journal of a large fleet besides its own work:
 // reckoned for 200 records and 1 MB a second at 0.2 ms a record, doubled.
 constexpr std::uint32_t kStrongMillis = 300;
-// Peers that a starting gateway asks for the whole ledger: one may be starting itself.
-constexpr std::size_t kLedgerRequests = 4;
+// Time for a peer to send all that was spent: 200 kB for 5,000 programs, on the slowest links.
+constexpr Duration kLedgerTimeout = std::chrono::milliseconds(1000);
 // Times out within two beats of PING; see KeepAlive.
 const transport::KeepAlive kKeepAlive{std::chrono::milliseconds(700),
                                       std::chrono::milliseconds(2100)};
@@ -96,10 +109,10 @@
     std::uint64_t durableBatch = 0;
     // It knows what was spent before it started.
     bool knowsLedger = false;
+    // It did not make records of this gateway durable then.
+    std::optional<Instant> refusedRecordsAt;
     // Its last batches, each with the time at which it was heard of.
     std::deque<std::pair<Instant, std::uint64_t>> batches;
-    // Its first update held all that was kept before.
-    bool isLoaded = false;
     bool isDropped = false;
 };
 
@@ -118,7 +131,8 @@
         , onPolicy(std::move(policyHandler))
         , onMember(std::move(memberHandler))
         , requests(
-              st, k, log, [this] { return hearsAllTurns(); }, [this] { flush(); })
+              st, k, log, [this] { return hearsAllTurns(); }, [this] { flush(); },
+              [this] { return journalMarks(); })
         , client(e, kKeepAlive)
     {
     }
@@ -174,7 +188,7 @@
             }
         });
         self->subscribers.insert(subscriber);
-        subscriber->queue.push_back(self->firstUpdate(request.wants_ledger()));
+        subscriber->queue.push_back(self->firstUpdate());
         while (!subscriber->isGone) {
             if (subscriber->queue.empty()) {
                 co_await subscriber->wake.wait();
@@ -225,6 +239,8 @@
         if (message && reply.ParseFromString(*message)
             && reply.incarnation() == peer->member.incarnation.value()) {
             peer->sendsTurns = wanted;
+            // What it announced until then went to others only.
+            self->noteMissedTurns(*peer, peer->durableBatch, now() - kListingDelay);
         }
     }
 
@@ -307,14 +323,18 @@
         co_return std::move(message).value();
     }
 
-    // The gateway that is to be the home of a program whose home is gone: every gateway that hears
-    // the same peers chooses the same.
+    // The holder that is to be the home of a program that has none: every gateway that hears the
+    // same peers chooses the same. nullptr if it is this gateway, also if it hears no holder.
     std::shared_ptr<Peer> heir(const ProgramId &program) const
     {
         std::shared_ptr<Peer> best;
-        std::size_t bestRank = rank(program, self.host);
+        std::optional<std::size_t> bestRank;
+        if (isHolder) {
+            bestRank = rank(program, self.host);
+        }
         for (const auto &[host, peer] : peers) {
-            if (peer->isConnected && peer->knowsLedger && rank(program, host) > bestRank) {
+            if (peer->isConnected && peer->knowsLedger && isHolderAmong(peer->member)
+                && (!bestRank || rank(program, host) > *bestRank)) {
                 best = peer;
                 bestRank = rank(program, host);
             }
@@ -347,7 +367,7 @@
         request.set_budget_tokens(turn.budget);
         request.set_most_tokens(turn.most);
         const auto message = co_await askOnce(peer->member.address, kAdmitMethod,
-                                              request.SerializeAsString(), kAskTimeout);
+                                              request.SerializeAsString(), kAdmitTimeout);
         wire::AdmitReply reply;
         if (!message || !reply.ParseFromString(*message)) {
             co_return Error(ErrorKind::Unavailable, "the program's home does not answer");
@@ -373,15 +393,11 @@
         return update;
     }
 
-    // With `isWhole`, holds the ledger of all incarnations if this process knows it.
-    std::shared_ptr<const std::string> firstUpdate(bool isWhole) const
+    std::shared_ptr<const std::string> firstUpdate() const
     {
         wire::Update update = newUpdate();
-        update.set_loaded(isWhole && keeper.isLoaded());
-        for (const auto &[incarnation, report] : state.budgets().allReports()) {
-            if (isWhole || incarnation == self.incarnation) {
-                addSpend(update, incarnation, report);
-            }
+        for (const turns::SpendReport &report : state.budgets().ownReports()) {
+            addSpend(update, self.incarnation, report);
         }
         if (policy.version > 0) {
             update.mutable_policy()->set_version(policy.version);
@@ -454,7 +470,6 @@
         while (!peer->isDropped && !self->isClosed) {
             wire::Subscribe request;
             *request.mutable_member() = toWire(self->self);
-            request.set_wants_ledger(self->takeLedgerRequest());
             request.set_wants_turns(self->isHolder);
             peer->sendsTurns = self->isHolder;
             auto stream = co_await self->client.open(peer->member.address, kUpdatesMethod,
@@ -464,7 +479,7 @@
             }
             if (peer->isConnected) {
                 peer->isConnected = false;
-                peer->isLoaded = false;
+                peer->knowsLedger = false;
                 self->log.warning("Lost a peer.", Field("peer", peer->member.host),
                                   Field("incarnation", peer->member.incarnation));
                 self->state.placement().onPeerGone(peer->member.incarnation);
@@ -475,6 +490,19 @@
         }
     }
 
+    // What a gateway that learns the ledger here does not learn stands in later batches than these.
+    PeerRequests::JournalMarks journalMarks() const
+    {
+        PeerRequests::JournalMarks marks = keeper.reader().lostPeers();
+        marks.emplace(self.incarnation, keeper.durableBatch());
+        for (const auto &[host, peer] : peers) {
+            if (peer->durableBatch > 0) {
+                marks.emplace(peer->member.incarnation, peer->durableBatch);
+            }
+        }
+        return marks;
+    }
+
     static void noteBatch(Peer &peer, std::uint64_t batch)
     {
         if (peer.batches.empty() || batch > peer.durableBatch) {
@@ -486,26 +514,38 @@
         peer.durableBatch = batch;
     }
 
-    // What a peer announced since it was last heard stands in its journal, or in that of the
-    // gateway that writes for it, in batches after the one that was the last then.
-    void noteMissedTurns(const Peer &missed)
+    // What a peer announced, or admitted as home, since it was last heard stands in its journal, or
+    // in that of the gateway that writes for it, in batches after the one that was the last then.
+    // `batch` is the last of its own journal, as far as is known.
+    void noteMissedTurns(const Peer &missed, std::uint64_t batch)
+    {
+        // A process tells its peers of itself before it serves its first turn.
+        noteMissedTurns(missed, batch,
+                        missed.heardAt == Instant::min() ? missed.listedAt - kListingDelay
+                                                         : missed.heardAt);
+    }
+
+    void noteMissedTurns(const Peer &missed, std::uint64_t batch, Instant since)
     {
-        keeper.reader().noteLostPeer(missed.member.incarnation, missed.durableBatch);
+        if (!isHolder) {
+            // Only holders answer for others, and read all journals when they become one.
+            return;
+        }
+        if (batch > 0) {
+            keeper.reader().noteLostPeer(missed.member.incarnation, missed.durableBatch);
+        }
         for (const auto &[host, peer] : peers) {
             if (peer->durableBatch == 0 || peer->member == missed.member) {
                 continue;
             }
             std::uint64_t last = peer->batches.front().second;
             for (const auto &[at, batch] : peer->batches) {
-                last = at <= missed.heardAt ? batch : last;
+                last = at <= since ? batch : last;
             }
             keeper.reader().noteLostPeer(peer->member.incarnation, last);
         }
     }
 
-    // True for a few peers while the process does not know what was spent: each ledger is large.
-    bool takeLedgerRequest() { return !keeper.isLoaded() && ledgerRequests++ < kLedgerRequests; }
-
     static asio::awaitable<void> readUpdates(std::shared_ptr<Private> self,
                                              std::shared_ptr<Peer> peer,
                                              transport::ClientStream &stream)
@@ -528,14 +568,13 @@
             if (!peer->isConnected) {
                 peer->isConnected = true;
                 // Turns that were announced without a connection were not heard.
-                self->noteMissedTurns(*peer);
+                self->noteMissedTurns(*peer, update.durable_batch());
                 self->log.info("Hears a peer.", Field("peer", peer->member.host),
                                Field("incarnation", peer->member.incarnation));
             }
             peer->heardAt = now();
             peer->knowsLedger = update.knows_ledger();
             self->noteBatch(*peer, update.durable_batch());
-            peer->isLoaded = peer->isLoaded || update.loaded();
             applyNews(update, now(), self->state);
             if (update.has_policy()) {
                 self->onPolicy({update.policy().version(), update.policy().document()});
@@ -551,21 +590,25 @@
         co_return message &&reply.ParseFromString(*message) && reply.durable();
     }
 
-    // Who writes the journal: the strongest gateway for all if it is strong enough, else one for
-    // each failure domain. nullptr if it is this one.
-    std::shared_ptr<Peer> committer() const
+    // Holders that may write the journal of this gateway, the strongest first: any that is strong
+    // enough to write for all, else those of its failure domain. nullptr stands for this gateway.
+    std::vector<std::shared_ptr<Peer>> writers() const
     {
-        std::shared_ptr<Peer> best;
-        Member strongest = self;
+        std::vector<std::shared_ptr<Peer>> found;
         for (const auto &[host, peer] : peers) {
             const bool isNear = peer->member.failureDomain == self.failureDomain;
             const bool mayWrite = isNear || peer->member.processorMillis >= kStrongMillis;
-            if (isHeard(*peer) && mayWrite && isBefore(peer->member, strongest)) {
-                best = peer;
-                strongest = peer->member;
+            if (isHeard(*peer) && mayWrite && isHolderAmong(peer->member)) {
+                found.push_back(peer);
             }
         }
-        return best;
+        if (isHolder) {
+            found.push_back(nullptr);
+        }
+        std::sort(found.begin(), found.end(), [this](const auto &a, const auto &b) {
+            return isBefore(a ? a->member : self, b ? b->member : self);
+        });
+        return found;
     }
 
     static bool isBefore(const Member &a, const Member &b)
@@ -587,7 +630,6 @@
     std::map<HostName, std::shared_ptr<Peer>> peers;
     std::unordered_set<std::shared_ptr<Subscriber>> subscribers;
     PolicyDocument policy;
-    std::size_t ledgerRequests = 0;
     bool isHolder = false;
     bool isClosed = false;
 };
@@ -633,7 +675,7 @@
         const auto still = kept.find(host);
         peer->isDropped = still == kept.end() || still->second != peer;
         if (peer->isDropped) {
-            d->noteMissedTurns(*peer);
+            d->noteMissedTurns(*peer, std::max<std::uint64_t>(peer->durableBatch, 1));
         }
     }
     d->peers = std::move(kept);
@@ -738,6 +780,7 @@
     const std::vector<std::shared_ptr<Peer>> asked = self->likelyHolders();
     bool haveAllAnswered = true;
     bool isOneComplete = self->keeper.reader().knowsAllTurns() && self->hearsAllTurns();
+    HostName complete = self->self.host;
     for (const auto &peer : asked) {
         std::optional<std::string> message;
         if (peer->isConnected) {
@@ -750,7 +793,10 @@
             haveAllAnswered = false;
             continue;
         }
-        isOneComplete = isOneComplete || reply.complete();
+        if (reply.complete() && !isOneComplete) {
+            isOneComplete = true;
+            complete = peer->member.host;
+        }
         for (const journal::TurnKept &turn : reply.turns()) {
             self->keeper.learn(turn);
         }
@@ -761,6 +807,8 @@
     if (!haveAllAnswered) {
         co_return TurnSearch::Unsure;
     }
+    self->log.info("No peer knows a turn.", Field("turn", id), Field("asked", asked.size()),
+                   Field("complete", isOneComplete), Field("holder", complete));
     co_return isOneComplete ? TurnSearch::Unknown : TurnSearch::UnknownToPeers;
 }
 
@@ -776,27 +824,66 @@
            });
 }
 
-bool PeerMesh::hasLoadedPeer() const
+asio::awaitable<bool> PeerMesh::learnLedger()
 {
-    for (const auto &[host, peer] : d->peers) {
-        if (peer->isConnected && peer->isLoaded) {
-            return true;
+    const auto self = d;
+    wire::LedgerRequest request;
+    request.set_incarnation(self->self.incarnation.value());
+    const std::string bytes = request.SerializeAsString();
+    const std::vector<std::shared_ptr<Peer>> asked = self->likelyHolders();
+    for (const auto &peer : asked) {
+        if (!peer->isConnected || !peer->knowsLedger || !self->isHolderAmong(peer->member)) {
+            continue;
         }
+        const auto message =
+            co_await self->askOnce(peer->member.address, kLedgerMethod, bytes, kLedgerTimeout);
+        wire::LedgerReply reply;
+        if (!message || !reply.ParseFromString(*message) || !reply.has_ledger()) {
+            continue;
+        }
+        for (const wire::JournalMark &mark : reply.journals()) {
+            self->keeper.reader().noteLostPeer(Incarnation(mark.incarnation()), mark.batch());
+        }
+        for (const journal::ProgramSpend &spend : reply.ledger().spends()) {
+            self->state.budgets().onJournalReport(Incarnation(spend.incarnation()),
+                                                  fromRecord(spend), Private::now());
+        }
+        self->log.info("Learned the ledger from a peer.", Field("peer", peer->member.host),
+                       Field("programs", reply.ledger().spends_size()));
+        co_return true;
     }
-    return false;
+    co_return false;
 }
 
 asio::awaitable<CommitOutcome> PeerMesh::commit(std::vector<journal::Record> records)
 {
     const auto self = d;
-    const std::shared_ptr<Peer> committer = self->committer();
-    if (!committer) {
+    const std::vector<std::shared_ptr<Peer>> writers = self->writers();
+    if (writers.empty()) {
         co_return CommitOutcome::OwnTask;
     }
-    std::string request = keepRequest(std::move(records));
-    const bool isDurable =
-        co_await self->askToKeep(committer->member.address, std::move(request), kCommitTimeout);
-    co_return isDurable ? CommitOutcome::Durable : CommitOutcome::Failed;
+    const std::string request = keepRequest(std::move(records));
+    std::size_t tries = 0;
+    for (const auto &writer : writers) {
+        if (!writer) {
+            co_return CommitOutcome::OwnTask;
+        }
+        if (writer->refusedRecordsAt && Private::now() - *writer->refusedRecordsAt < kWriterRetry) {
+            continue;
+        }
+        if (++tries > kWriterTries) {
+            break;
+        }
+        const bool isDurable =
+            co_await self->askToKeep(writer->member.address, request, kCommitTimeout);
+        if (isDurable) {
+            co_return CommitOutcome::Durable;
+        }
+        writer->refusedRecordsAt = Private::now();
+        self->log.info("A gateway that writes the journal did not take records.",
+                       Field("peer", writer->member.host));
+    }
+    co_return CommitOutcome::Failed;
 }
 
 asio::awaitable<bool> PeerMesh::relay(std::vector<journal::Record> records)
@@ -804,8 +891,8 @@
     const auto self = d;
     const std::string bytes = keepRequest(std::move(records));
     std::vector<Address> addresses;
-    for (const auto &[host, peer] : self->peers) {
-        if (self->isHeard(*peer)) {
+    for (const auto &peer : self->likelyHolders()) {
+        if (self->isHeard(*peer) && addresses.size() < kRelayTries) {
             addresses.push_back(peer->member.address);
         }
     }
@@ -824,10 +911,21 @@
     if (!home) {
         home = self->heir(turn.program);
     }
+    if (!home && !self->isHolder) {
+        co_return Error(ErrorKind::Unavailable, "no gateway that may be a home is heard");
+    }
     if (!home) {
-        self->log.info("Becomes the home of a program.", Field("program", turn.program));
+        if (!self->keeper.reader().lostPeers().empty()) {
+            // The home that is gone may have written what was not heard.
+            if (!self->keeper.isKeeping()) {
+                co_return Error(ErrorKind::StoreUnavailable, "journals cannot be read now");
+            }
+            const Result<void> read = co_await self->keeper.reader().refresh();
+            if (!read) {
+                co_return read.error();
+            }
+        }
         self->state.budgets().claim(turn.program, Private::now());
-        self->flush();
         co_return turns::Admission::Elsewhere;
     }
     co_return co_await self->ask(home, std::move(turn));
--- a/basilhall/gateway/peer_mesh.h
+++ b/basilhall/gateway/peer_mesh.h
@@ -87,8 +87,8 @@
     bool isConnectedToAll() const;
     // True if every connected member sends this holder the turns that it keeps.
     bool isToldOfTurns() const;
-    // True if a heard member has told all that was kept before.
-    bool hasLoadedPeer() const;
+    // Learns all that was spent from a holder that knows it; false if none does or none answers.
+    boost::asio::awaitable<bool> learnLedger();
     // Asks the gateway that writes for the fleet or the failure domain to keep the records, if it
     // is not this one.
     boost::asio::awaitable<CommitOutcome> commit(std::vector<journal::Record> records);
--- a/basilhall/gateway/peer_mesh_test.cpp
+++ b/basilhall/gateway/peer_mesh_test.cpp
@@ -102,11 +102,11 @@
         });
     }
 
-    Result<void> keep(Node &node, const turns::KeptTurn &kept, const ProgramId &program = {})
+    Result<void> keep(Node &node, const turns::KeptTurn &kept)
     {
         Result<void> result = success();
         runCoroutine(context, [&]() -> asio::awaitable<void> {
-            result = co_await node.keeper.keep(kept, program, 2s);
+            result = co_await node.keeper.keep(kept, 2s);
         });
         return result;
     }
@@ -166,18 +166,50 @@
     // What was kept for others outlives all processes.
     Node successor(context, objects, "successor", 500);
     runCoroutine(context, [&]() -> asio::awaitable<void> {
-        const Result<void> read = co_await successor.keeper.reader().loadTurns(0, 1);
+        const Result<void> read = co_await successor.keeper.reader().loadTurns();
         BOOST_TEST(read.has_value());
     });
     BOOST_TEST(successor.state.turns().contains(turns::TurnId("t1")));
     BOOST_TEST(successor.state.turns().contains(turns::TurnId("t2")));
 }
 
+// A gateway that restarts learns what was spent from a peer that knows it, however late it asks.
+BOOST_AUTO_TEST_CASE(aLedgerIsLearnedFromAPeerThatKnowsIt)
+{
+    const Incarnation gone("gone-1");
+    strong->state.budgets().onJournalReport(gone, {ProgramId("p"), kTeam, 0, 0, 0, 0, false, 900},
+                                            MonotonicClock().now());
+    const auto fresh = std::make_shared<Node>(context, objects, "fresh", 90);
+    middle = fresh;
+    connect();
+    bool isLearned = false;
+    runCoroutine(context, [&]() -> asio::awaitable<void> {
+        isLearned = co_await fresh->mesh.learnLedger();
+    });
+    BOOST_TEST(isLearned);
+    BOOST_TEST(fresh->state.budgets().spent(ProgramId("p")) == 900U);
+}
+
+// A holder that has just started has heard a turn, but not read those before it.
+BOOST_AUTO_TEST_CASE(aTurnThatIsKnownInPartIsNotUnknown)
+{
+    connect();
+    beatUntil([this] { return strong->mesh.isToldOfTurns() && !weak->mesh.isHolder(); });
+    strong->state.turns().add(turn("t2", "t1"));
+    const auto early = prompt(*weak, "t2");
+    BOOST_TEST((!early && early.error().kind() == ErrorKind::Unavailable));
+    middle->state.turns().add(turn("t1"));
+    middle->state.turns().add(turn("t2", "t1"));
+    const auto found = prompt(*weak, "t2");
+    BOOST_TEST((found && found.value() == "inoutinoutnext"));
+}
+
 BOOST_AUTO_TEST_CASE(aGatewayWritesItselfIfTheWriterCannot)
 {
     connect();
     strong->isCutFromStore = true;
     strong->mesh.close();
+    beatUntil([this] { return weak->mesh.heardCount() == 1; });
     BOOST_TEST(keep(*weak, turn("t1")).has_value());
     BOOST_TEST(weak->calls + middle->calls > 0);
 }
@@ -229,7 +261,7 @@
     const auto early = prompt(*weak, "none");
     BOOST_TEST((!early && early.error().kind() == ErrorKind::Unavailable));
     runCoroutine(context, [&]() -> asio::awaitable<void> {
-        const Result<void> read = co_await strong->keeper.reader().loadTurns(0, 1);
+        const Result<void> read = co_await strong->keeper.reader().loadTurns();
         BOOST_TEST(read.has_value());
     });
     const auto sure = prompt(*weak, "none");
@@ -240,11 +272,41 @@
     BOOST_TEST((!unsure && unsure.error().kind() == ErrorKind::Unavailable));
 }
 
+// A home is lost before its last admissions were told to its peers; they stand in its journal.
+BOOST_AUTO_TEST_CASE(anHeirReadsWhatTheLostHomeWrote)
+{
+    const ProgramId program("p");
+    const MonotonicClock clock;
+    {
+        Node gone(context, objects, "gone", 500);
+        gone.state.budgets().claim(program, clock.now());
+        (void)gone.state.budgets().admit({program, kTeam, 1000, 900}, clock.now());
+        runCoroutine(context, [&]() -> asio::awaitable<void> {
+            const Result<void> covered = co_await gone.keeper.cover(program, 2s);
+            BOOST_TEST(covered.has_value());
+        });
+    }
+    connect();
+    for (const auto &node : {strong, middle, weak}) {
+        node->keeper.reader().noteLostPeer(Incarnation("gone-1"), 0);
+    }
+    const turns::TurnBudget asked{program, kTeam, 1000, 200};
+    Result<turns::Admission> admission = turns::Admission::Elsewhere;
+    for (int i = 0; i < 3 && admission && admission.value() == turns::Admission::Elsewhere; ++i) {
+        admission = weak->state.budgets().admit(asked, clock.now());
+        if (admission.value() == turns::Admission::Orphaned) {
+            admission = askHome(*weak, asked);
+        }
+    }
+    BOOST_TEST((admission && admission.value() == turns::Admission::Exhausted));
+}
+
 BOOST_AUTO_TEST_CASE(theHomeCoversATurnBeforeTheNext)
 {
     connect();
     const MonotonicClock clock;
     const turns::TurnBudget asked{ProgramId("p"), kTeam, 1000, 100};
+    middle->state.budgets().claim(asked.program, clock.now());
     BOOST_TEST((middle->state.budgets().admit(asked, clock.now()) == turns::Admission::Admitted));
     middle->mesh.flush();
     runCoroutine(context, [&]() -> asio::awaitable<void> {
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -103,11 +103,10 @@
             return;
         }
         LedgerSnapshot snapshot{state.self(), writer.durableNumber(), {}};
-        for (auto &[incarnation, report] : state.budgets().allReports()) {
-            if (incarnation == state.self() || relayedFor.contains(incarnation)) {
-                snapshot.spends.emplace_back(incarnation, std::move(report));
-            }
-        }
+        snapshot.spends = state.budgets().summary();
+        std::erase_if(snapshot.spends, [this](const auto &entry) {
+            return !recordedPrograms.contains(entry.second.program);
+        });
         ledger.write(encodeLedger(snapshot),
                      [weak = weak_from_this(), batch = snapshot.batch](bool isDurable) {
                          const auto self = weak.lock();
@@ -235,6 +234,8 @@
             if (record.has_turn_kept()) {
                 lastKeptUntil = std::max(lastKeptUntil, record.turn_kept().kept_until_wall_ms());
                 appendedTurns.emplace_back(record.turn_kept().turn_id());
+            } else if (record.has_program_spend()) {
+                recordedPrograms.insert(ProgramId(record.program_spend().program_id()));
             }
         }
         return last;
@@ -243,20 +244,21 @@
     static asio::awaitable<Result<void>>
     write(std::shared_ptr<Private> self, std::vector<journal::Record> records, Duration timeout)
     {
-        const bool isCommitting =
-            self->commit && (!self->commitFailedAt || now() - *self->commitFailedAt > kRelayRetry);
-        if (isCommitting) {
+        if (self->commit) {
             const auto commit = self->commit;
             std::vector<journal::Record> copies = records;
             const CommitOutcome outcome = co_await commit(std::move(copies));
             if (outcome == CommitOutcome::Durable) {
-                self->commitFailedAt.reset();
+                self->commitFailingSince.reset();
                 co_return success();
             }
             if (outcome == CommitOutcome::Failed) {
                 self->commitFailedAt = now();
-                self->log.info("The gateway that writes the journal did not take records.",
-                               Field("records", records.size()));
+                if (!self->commitFailingSince) {
+                    self->commitFailingSince = now();
+                }
+                co_return Error(ErrorKind::StoreUnavailable, "no gateway makes records durable")
+                    .withRetryAfter(kStoreRetry);
             }
         }
         const auto ticket = self->append(records);
@@ -268,10 +270,10 @@
     }
 
     static asio::awaitable<Result<void>> writeSpends(std::shared_ptr<Private> self,
-                                                     std::vector<journal::Record> records,
                                                      std::vector<turns::SpendReport> spends,
                                                      Duration timeout)
     {
+        std::vector<journal::Record> records;
         for (const turns::SpendReport &spend : spends) {
             *records.emplace_back().mutable_program_spend() = toRecord(self->state.self(), spend);
         }
@@ -306,9 +308,7 @@
         for (const ProgramId &program : std::exchange(self->toCover, {})) {
             spends.push_back(self->state.budgets().record(program));
         }
-        std::vector<journal::Record> none;
-        const Result<void> done =
-            co_await writeSpends(self, std::move(none), std::move(spends), kNotKeepingAfter);
+        const Result<void> done = co_await writeSpends(self, std::move(spends), kNotKeepingAfter);
         if (!done) {
             self->log.warning("Spending is not durable yet.", Field("reason", done.error()));
         }
@@ -357,17 +357,19 @@
     std::vector<turns::TurnId> earlierTurns;
     // Latest time until which a turn of this journal is kept.
     WallMillis lastKeptUntil = 0;
-    // Incarnations whose records stand in this journal because they could not write them.
-    std::set<Incarnation> relayedFor;
     transport::Signal progress;
     asio::steady_timer wake;
     std::optional<Instant> failingSince;
     Relay relay;
     Commit commit;
     std::optional<Instant> commitFailedAt;
+    // Since then, no record was made durable by another gateway that should have been.
+    std::optional<Instant> commitFailingSince;
     std::optional<Instant> relayFailedAt;
     Announce announce;
     SearchPeers searchPeers;
+    // Programs with records in this journal; the ledger is of these.
+    std::set<ProgramId> recordedPrograms;
     // Programs with turns that no record covers yet.
     std::set<ProgramId> toCover;
     bool isCoverScheduled = false;
@@ -404,11 +406,12 @@
 
 void TurnKeeper::saveLedger()
 {
-    d->saveLedger();
+    if (d->hasLedger) {
+        d->saveLedger();
+    }
 }
 
-asio::awaitable<Result<void>> TurnKeeper::keep(turns::KeptTurn turn, ProgramId program,
-                                               Duration timeout)
+asio::awaitable<Result<void>> TurnKeeper::keep(turns::KeptTurn turn, Duration timeout)
 {
     const auto self = d;
     journal::Record record;
@@ -417,13 +420,9 @@
         self->announce(record.turn_kept());
     }
     self->state.turns().add(std::move(turn));
-    std::vector<turns::SpendReport> spends;
-    if (!program.isEmpty()) {
-        spends.push_back(self->state.budgets().record(program));
-    }
     std::vector<journal::Record> records;
     records.push_back(std::move(record));
-    co_return co_await Private::writeSpends(self, std::move(records), std::move(spends), timeout);
+    co_return co_await Private::write(self, std::move(records), timeout);
 }
 
 asio::awaitable<Result<void>> TurnKeeper::cover(ProgramId program, Duration timeout)
@@ -431,8 +430,7 @@
     const auto self = d;
     std::vector<turns::SpendReport> spends;
     spends.push_back(self->state.budgets().record(program));
-    std::vector<journal::Record> none;
-    co_return co_await Private::writeSpends(self, std::move(none), std::move(spends), timeout);
+    co_return co_await Private::writeSpends(self, std::move(spends), timeout);
 }
 
 void TurnKeeper::coverSoon(const ProgramId &program)
@@ -448,9 +446,8 @@
     for (const journal::Record &record : records) {
         if (record.has_program_spend()) {
             // Before the ledger next says that it counts the batch with the record.
-            const Incarnation spender(record.program_spend().incarnation());
-            self->relayedFor.insert(spender);
-            self->state.budgets().onJournalReport(spender, fromRecord(record.program_spend()),
+            self->state.budgets().onJournalReport(Incarnation(record.program_spend().incarnation()),
+                                                  fromRecord(record.program_spend()),
                                                   Private::now());
         } else if (record.has_turn_kept()) {
             self->state.turns().add(fromRecord(record.turn_kept()));
@@ -503,8 +500,11 @@
     }
     const Result<void> read = co_await self->reader.refresh();
     made = self->state.turns().prompt(previous, team, input);
-    // A peer that did not answer may have kept the turn a moment ago.
-    if (made || (read && search != TurnSearch::Unsure)) {
+    // A peer that did not answer may have kept the turn a moment ago; one that is known in part
+    // exists.
+    const bool isUnknown =
+        read && search == TurnSearch::UnknownToPeers && !self->state.turns().contains(previous);
+    if (made || isUnknown) {
         co_return made;
     }
     co_return Error(ErrorKind::StoreUnavailable, "the turn cannot be looked up")
@@ -539,12 +539,17 @@
 
 Duration TurnKeeper::storeFailingFor() const
 {
-    return d->failingSince ? Private::now() - *d->failingSince : Duration::zero();
+    const Instant now = Private::now();
+    return std::max(d->failingSince ? now - *d->failingSince : Duration::zero(),
+                    d->commitFailingSince ? now - *d->commitFailingSince : Duration::zero());
 }
 
 bool TurnKeeper::isKeeping() const
 {
     const Instant now = Private::now();
+    if (d->commitFailingSince && now - *d->commitFailedAt < kRelayRetry) {
+        return false;
+    }
     if (!d->failingSince || now - *d->failingSince < kNotKeepingAfter) {
         return true;
     }
@@ -565,6 +570,9 @@
         d->remove(d->reader.expired(wallNow, *live, kRemovalsPerRound));
     }
     d->state.budgets().expire(Private::now() - kProgramMemory);
+    std::erase_if(d->recordedPrograms, [self = d.get()](const ProgramId &program) {
+        return !self->state.budgets().knows(program);
+    });
 }
 
 bool TurnKeeper::isIdle() const
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -2,7 +2,7 @@
 //
 //     TurnKeeper keeper(executor, access, state, log, registry);
 //     Result<void> loaded = co_await keeper.load();
-//     Result<void> kept = co_await keeper.keep(turn, program, 2s);
+//     Result<void> kept = co_await keeper.keep(turn, 2s);
 //     Result<std::string> prompt = co_await keeper.prompt(previous, team, input);
 #pragma once
 
@@ -82,13 +82,13 @@
     void setLoaded();
     // Reads what was kept.
     JournalReader &reader();
-    // Writes the own ledger if it has changed. Nothing is kept before the first time.
+    // Writes the own ledger if the journal has grown since. The first is written before the first
+    // batch.
     void saveLedger();
 
-    // Makes the turn durable, with the spending of its program. StoreUnavailable after `timeout`;
-    // the turn may still become durable later.
-    boost::asio::awaitable<Result<void>> keep(turns::KeptTurn turn, ProgramId program,
-                                              Duration timeout);
+    // Makes the turn durable. StoreUnavailable after `timeout`; the turn may still become durable
+    // later.
+    boost::asio::awaitable<Result<void>> keep(turns::KeptTurn turn, Duration timeout);
     // Makes durable what a program has spent and has in flight.
     boost::asio::awaitable<Result<void>> cover(ProgramId program, Duration timeout);
     // The same in the background, so that the program's next turn need not wait.
--- a/basilhall/turns/budget_ledger.cpp
+++ b/basilhall/turns/budget_ledger.cpp
@@ -6,6 +6,15 @@
 namespace basilhall::turns
 {
 
+namespace
+{
+
+// A gateway that took a grant reports it with its next update, 300 ms later at most; one that is
+// not reported by then was given up by its asker.
+constexpr Duration kGrantMemory = std::chrono::seconds(3);
+
+} // namespace
+
 std::uint64_t BudgetLedger::Share::most() const
 {
     const std::uint64_t unreported = granted > grants ? (granted - grants) * mostOfGrant : 0;
@@ -34,59 +43,53 @@
 
 std::uint64_t BudgetLedger::total(const Account &account)
 {
-    std::uint64_t sum = 0;
+    std::uint64_t sum = account.base;
     std::uint64_t said = 0;
     for (const auto &[incarnation, share] : account.shares) {
-        sum += share.most();
+        sum += share.most() - std::min(share.most(), share.inBase);
         said = std::max(said, share.isGone ? share.total : 0);
     }
     return std::max(sum, said);
 }
 
-std::uint64_t BudgetLedger::durableTotal(const Account &account)
+Admission BudgetLedger::admission(Account &account, const TurnBudget &turn, Instant now)
 {
-    std::uint64_t sum = 0;
-    for (const auto &[incarnation, share] : account.shares) {
-        sum += std::min(share.most(), share.covered);
+    for (auto &[incarnation, share] : account.shares) {
+        if (!share.isGone && now - share.grantedAt > kGrantMemory) {
+            share.granted = std::min(share.granted, share.grants);
+        }
     }
-    return std::max(sum, account.durableTotal);
-}
-
-Admission BudgetLedger::admission(const Account &account, const TurnBudget &turn)
-{
     const std::uint64_t before = total(account);
     if (before + turn.most > turn.budget) {
         return Admission::Exhausted;
     }
-    return before > durableTotal(account) ? Admission::NeedsRecord : Admission::Admitted;
+    return before > account.durableTotal ? Admission::NeedsRecord : Admission::Admitted;
 }
 
-bool BudgetLedger::isHomeGone(const Account &account) const
+bool BudgetLedger::isOrphan(const Account &account) const
 {
-    if (account.home.isEmpty()) {
-        // Known from a journal alone.
-        return !account.shares.empty();
-    }
     const auto share = account.shares.find(account.home);
     return account.home != m_self && (share == account.shares.end() || share->second.isGone);
 }
 
+bool BudgetLedger::isOrphan(const ProgramId &program) const
+{
+    const auto found = m_programs.find(program);
+    return found == m_programs.end() || isOrphan(found->second);
+}
+
 Admission BudgetLedger::admit(const TurnBudget &turn, Instant now)
 {
     Account &entry = account(turn.program, now);
     entry.team = turn.team;
     Share &own = entry.shares[m_self];
-    const bool isOnly = entry.shares.size() == 1;
-    if (entry.home.isEmpty() && isOnly) {
-        entry.home = m_self;
-    }
-    if (isHomeGone(entry)) {
+    if (isOrphan(entry)) {
         return Admission::Orphaned;
     }
     if (entry.home != m_self) {
         return Admission::Elsewhere;
     }
-    const Admission verdict = admission(entry, turn);
+    const Admission verdict = admission(entry, turn, now);
     if (verdict == Admission::Admitted) {
         own.inFlight += turn.most;
         noteNews(turn.program, entry);
@@ -98,18 +101,19 @@
 {
     Account &entry = account(turn.program, now);
     entry.team = turn.team;
-    if (entry.home.isEmpty() || isHomeGone(entry)) {
+    if (isOrphan(entry)) {
         claim(turn.program, now);
     }
     if (entry.home != m_self) {
         return Admission::Elsewhere;
     }
-    const Admission verdict = admission(entry, turn);
+    const Admission verdict = admission(entry, turn, now);
     if (verdict == Admission::Admitted) {
         Share &share = entry.shares[asker];
         share.isGone = false;
         ++share.granted;
         share.mostOfGrant = std::max(share.mostOfGrant, turn.most);
+        share.grantedAt = now;
         noteNews(turn.program, entry);
     }
     return verdict;
@@ -127,6 +131,14 @@
 void BudgetLedger::claim(const ProgramId &program, Instant now)
 {
     Account &entry = account(program, now);
+    if (entry.home == m_self) {
+        return;
+    }
+    // What is known of before is not told by share: a later share counts beyond it.
+    entry.base = total(entry);
+    for (auto &[incarnation, share] : entry.shares) {
+        share.inBase = share.most();
+    }
     entry.home = m_self;
     (void)entry.shares[m_self];
     noteNews(program, entry);
@@ -199,19 +211,28 @@
     return changes;
 }
 
-std::vector<std::pair<Incarnation, SpendReport>> BudgetLedger::allReports() const
+std::vector<SpendReport> BudgetLedger::ownReports() const
+{
+    std::vector<SpendReport> reports;
+    for (const auto &[program, entry] : m_programs) {
+        if (entry.shares.contains(m_self)) {
+            reports.push_back(report(program, entry));
+        }
+    }
+    return reports;
+}
+
+std::vector<std::pair<Incarnation, SpendReport>> BudgetLedger::summary() const
 {
     std::vector<std::pair<Incarnation, SpendReport>> reports;
     for (const auto &[program, entry] : m_programs) {
+        SpendReport sum{program, entry.team};
+        sum.total = total(entry);
         for (const auto &[incarnation, share] : entry.shares) {
-            // What a gone incarnation may have handed out goes on counting as spent.
-            const std::uint64_t covered =
-                share.isGone ? std::max(share.covered, share.most()) : share.covered;
-            const bool isHome = entry.home == incarnation;
-            const std::uint64_t said = incarnation == m_self && isHome ? total(entry) : share.total;
-            reports.emplace_back(incarnation,
-                                 SpendReport{program, entry.team, share.spent, covered,
-                                             share.inFlight, share.grants, isHome, said});
+            sum.total = std::max(sum.total, share.total);
+        }
+        if (sum.total > 0) {
+            reports.emplace_back(entry.home.isEmpty() ? m_self : entry.home, std::move(sum));
         }
     }
     return reports;
--- a/basilhall/turns/budget_ledger.h
+++ b/basilhall/turns/budget_ledger.h
@@ -38,7 +38,7 @@
     Exhausted,
     // Another incarnation is the home of the program.
     Elsewhere,
-    // The home of the program is gone.
+    // The program has no home, or its home is gone.
     Orphaned,
 };
 
@@ -78,7 +78,7 @@
 public:
     explicit BudgetLedger(Incarnation self);
 
-    // Asks to run a turn here; on Admitted it is in flight. A program that nobody knows is claimed.
+    // Asks to run a turn here; on Admitted it is in flight.
     Admission admit(const TurnBudget &turn, Instant now);
     // As home, admits a turn that `asker` is to run. Elsewhere if another live incarnation is home.
     // Like admit(), NeedsRecord if what was admitted before is not covered.
@@ -90,6 +90,8 @@
     // Empty if none is known.
     Incarnation home(const ProgramId &program) const;
     bool knows(const ProgramId &program) const { return m_programs.contains(program); }
+    // True if it has no home, or its home is gone.
+    bool isOrphan(const ProgramId &program) const;
     // A turn that was admitted with `most` has ended and handed out `spent`.
     void settle(const ProgramId &program, std::uint64_t most, std::uint64_t spent, Instant now);
 
@@ -100,8 +102,11 @@
     void onDurable(const SpendReport &record);
     // Returns the own programs that changed since the last call, for peers.
     std::vector<SpendReport> takeChanges();
-    // Returns what is known of every incarnation, for a peer that has just connected.
-    std::vector<std::pair<Incarnation, SpendReport>> allReports() const;
+    // Returns all own programs, for a peer that has just connected.
+    std::vector<SpendReport> ownReports() const;
+    // Returns the most that all incarnations may have handed out of each program, with its home:
+    // one entry a program, whatever the number of gateways. For onJournalReport() of a successor.
+    std::vector<std::pair<Incarnation, SpendReport>> summary() const;
 
     // Takes what a journal says of another incarnation. One that has not been heard itself counts
     // as gone.
@@ -125,8 +130,11 @@
         std::uint64_t granted = 0;
         std::uint64_t grants = 0;
         std::uint64_t mostOfGrant = 0;
+        Instant grantedAt;
         // What it said as home; counts once it is gone.
         std::uint64_t total = 0;
+        // Part of its most that the account's base holds.
+        std::uint64_t inBase = 0;
         // The share comes from a journal and no live process vouches for it.
         bool isGone = false;
 
@@ -136,6 +144,8 @@
         TeamName team;
         Incarnation home;
         std::map<Incarnation, Share> shares;
+        // What had been handed out when this incarnation became the home; shares count beyond it.
+        std::uint64_t base = 0;
         // Of the own records as home that are durable.
         std::uint64_t durableTotal = 0;
         Instant changed;
@@ -144,12 +154,10 @@
 
     Account &account(const ProgramId &program, Instant now);
     void noteNews(const ProgramId &program, Account &account);
-    bool isHomeGone(const Account &account) const;
+    bool isOrphan(const Account &account) const;
     static std::uint64_t total(const Account &account);
-    // What a reader of all journals would count at least.
-    static std::uint64_t durableTotal(const Account &account);
     // Admission of one more turn by its home, without taking note of it.
-    static Admission admission(const Account &account, const TurnBudget &turn);
+    static Admission admission(Account &account, const TurnBudget &turn, Instant now);
     SpendReport report(const ProgramId &program, const Account &account) const;
 
     Incarnation m_self;
--- a/basilhall/turns/budget_ledger_test.cpp
+++ b/basilhall/turns/budget_ledger_test.cpp
@@ -17,6 +17,8 @@
 struct Fixture {
     BudgetLedger ledger{kSelf};
 
+    Fixture() { ledger.claim(kProgram, kNow); }
+
     Admission admit(std::uint64_t most)
     {
         return ledger.admit({kProgram, kTeam, 1000, most}, kNow);
@@ -87,12 +89,17 @@
 {
     BudgetLedger home{kPeer};
     const TurnBudget turn{kProgram, kTeam, 1000, 400};
+    home.claim(kProgram, kNow);
     BOOST_TEST((home.admit(turn, kNow) == Admission::Admitted));
     for (const SpendReport &report : home.takeChanges()) {
         ledger.onPeerReport(kPeer, report, kNow);
     }
-    BOOST_TEST((ledger.admit(turn, kNow) == Admission::Elsewhere));
-    BOOST_TEST(ledger.home(kProgram) == kPeer);
+    BudgetLedger asker{kSelf};
+    for (const SpendReport &report : home.ownReports()) {
+        asker.onPeerReport(kPeer, report, kNow);
+    }
+    BOOST_TEST((asker.admit(turn, kNow) == Admission::Elsewhere));
+    BOOST_TEST(asker.home(kProgram) == kPeer);
     home.onDurable(home.record(kProgram));
     BOOST_TEST((home.grant(kSelf, turn, kNow) == Admission::Admitted));
     // Counts before the asker reports it, and once after.
@@ -145,6 +152,46 @@
     BOOST_TEST(ledger.spent(kProgram) == 800U);
 }
 
+// A program whose turns ran at forty gateways takes as much room as any other.
+BOOST_AUTO_TEST_CASE(aSummaryHasOneEntryAProgram)
+{
+    ledger.claim(kProgram, kNow);
+    for (int i = 0; i < 40; ++i) {
+        ledger.onPeerReport(Incarnation("peer-" + std::to_string(i)), {kProgram, kTeam, 10, 10},
+                            kNow);
+    }
+    const auto summary = ledger.summary();
+    BOOST_TEST_REQUIRE(summary.size() == 1U);
+    BudgetLedger successor{kPeer};
+    successor.onJournalReport(summary[0].first, summary[0].second, kNow);
+    BOOST_TEST(successor.spent(kProgram) == 400U);
+}
+
+// What an heir knows only as a sum and what live gateways hand out afterwards are added.
+BOOST_AUTO_TEST_CASE(anHeirAddsNewSpendingToTheSum)
+{
+    BudgetLedger heir{kPeer};
+    const Incarnation third("third");
+    const Incarnation home("home");
+    heir.onJournalReport(home, {kProgram, kTeam, 0, 0, 0, 0, false, 500}, kNow);
+    heir.onPeerReport(third, {kProgram, kTeam, 100, 0, 50}, kNow);
+    heir.claim(kProgram, kNow);
+    BOOST_TEST(heir.spent(kProgram) == 500U);
+    heir.onPeerReport(third, {kProgram, kTeam, 250, 0, 0}, kNow);
+    BOOST_TEST(heir.spent(kProgram) == 600U);
+}
+
+// An asker gives up before the home's answer comes; the turn never runs.
+BOOST_AUTO_TEST_CASE(aGrantThatIsNotTakenIsForgotten)
+{
+    using namespace std::chrono_literals;
+    const TurnBudget turn{kProgram, kTeam, 1000, 600};
+    BOOST_TEST((ledger.grant(kPeer, turn, kNow) == Admission::Admitted));
+    cover();
+    BOOST_TEST((ledger.grant(kPeer, turn, kNow + 1s) == Admission::Exhausted));
+    BOOST_TEST((ledger.grant(kPeer, turn, kNow + 4s) == Admission::Admitted));
+}
+
 BOOST_AUTO_TEST_CASE(ofTwoHomesAllFollowTheSame)
 {
     BudgetLedger other{kPeer};
--- a/basilhall/turns/turn_table.cpp
+++ b/basilhall/turns/turn_table.cpp
@@ -30,6 +30,15 @@
     return turns;
 }
 
+bool TurnTable::hasWholeChain(const TurnId &id) const
+{
+    auto found = m_turns.find(id);
+    while (found != m_turns.end() && !found->second.previous.isEmpty()) {
+        found = m_turns.find(found->second.previous);
+    }
+    return found != m_turns.end();
+}
+
 bool TurnTable::belongsTo(const TurnId &id, const TeamName &team) const
 {
     const auto found = m_turns.find(id);
--- a/basilhall/turns/turn_table.h
+++ b/basilhall/turns/turn_table.h
@@ -25,6 +25,8 @@
     bool contains(const TurnId &id) const { return m_turns.contains(id); }
     // Returns the turns of the chain that ends with `id`, last first, as far as they are known.
     std::vector<KeptTurn> chain(const TurnId &id) const;
+    // True if the turn and all before it are known.
+    bool hasWholeChain(const TurnId &id) const;
     bool belongsTo(const TurnId &id, const TeamName &team) const;
     // Returns what the endpoint is to read: input and output of each turn of the chain that ends
     // with `previous`, oldest first, and then `input`. NotFound names the turn of the chain that is
