Journals of processes that had ended before are not read batch by batch

Change: a registration that is replaced within 3 s without having been heard is stale; what is missed is noted from the beginning of the full read on; batches that were read once count as known.

--- a/basilhall/gateway/journal_reader.cpp
+++ b/basilhall/gateway/journal_reader.cpp
@@ -142,14 +142,9 @@
     static asio::awaitable<Result<void>>
     readJournal(std::shared_ptr<Private> self, Incarnation incarnation, journal::BatchNumber heard)
     {
-        const auto known = self->rangesRead.find(incarnation);
-        if (known != self->rangesRead.end() && heard >= known->second.first) {
-            heard = std::max(heard, known->second.last);
-        }
-        Range &range = self->rangesRead[incarnation];
-        if (heard != range.last) {
-            range = {heard, heard};
-        }
+        const auto last = self->lastRead.emplace(incarnation, heard).first;
+        last->second = std::max(last->second, heard);
+        heard = last->second;
         std::size_t window = 1;
         while (true) {
             std::vector<store::Request> requests;
@@ -166,7 +161,7 @@
                 for (const store::Object &object : outcome.value()) {
                     self->take(object);
                 }
-                ++range.last;
+                ++last->second;
             }
             window = std::min(window * 2, kReadWindow);
         }
@@ -175,6 +170,7 @@
     static asio::awaitable<Result<void>> readAll(std::shared_ptr<Private> self)
     {
         const auto lost = self->lostPeers;
+        self->hasBegunToRead = true;
         const auto snapshots = co_await readLedgers(self);
         if (!snapshots) {
             co_return snapshots.error();
@@ -232,13 +228,10 @@
     JournalJanitor janitor{state.turns()};
     // Peers whose memory is gone, and the last batch of each that was heard.
     std::map<Incarnation, journal::BatchNumber> lostPeers;
-    // Batches after `first` up to `last` that were read one by one.
-    struct Range {
-        journal::BatchNumber first = 0;
-        journal::BatchNumber last = 0;
-    };
-    std::map<Incarnation, Range> rangesRead;
+    // Last batch of each journal that was read one by one, after those that were known.
+    std::map<Incarnation, journal::BatchNumber> lastRead;
     bool hasRead = false;
+    bool hasBegunToRead = false;
     std::uint64_t refreshesBegun = 0;
     bool isRefreshing = false;
     transport::Signal refreshed;
@@ -287,6 +280,10 @@
 
 void JournalReader::noteLostPeer(const Incarnation &peer, std::uint64_t heard)
 {
+    const auto last = d->lastRead.find(peer);
+    if (last != d->lastRead.end()) {
+        heard = std::max<std::uint64_t>(heard, last->second);
+    }
     const auto [at, isNew] = d->lostPeers.emplace(peer, heard);
     at->second = std::min(at->second, heard);
 }
@@ -301,9 +298,15 @@
     return d->hasRead;
 }
 
+bool JournalReader::hasBegunToRead() const
+{
+    return d->hasBegunToRead;
+}
+
 void JournalReader::forgetRead()
 {
     d->hasRead = false;
+    d->hasBegunToRead = false;
 }
 
 bool JournalReader::knowsAllTurns() const
--- a/basilhall/gateway/journal_reader.h
+++ b/basilhall/gateway/journal_reader.h
@@ -41,12 +41,15 @@
     // Reads the ends of the journals of lost peers, beginning after the call.
     boost::asio::awaitable<Result<void>> refresh();
 
-    // A peer is gone whose turns up to the batch `heard` of its journal were heard.
+    // A peer is gone whose journal up to the batch `heard` is known from the peer itself. Batches
+    // that were read one by one count as known too.
     void noteLostPeer(const Incarnation &peer, std::uint64_t heard);
     // Journals that hold more than was heard, each with the last batch that was.
     const std::map<Incarnation, std::uint64_t> &lostPeers() const;
     // True once loadTurns() has succeeded.
     bool hasRead() const;
+    // True once loadTurns() has begun: what is missed from then on has to be noted.
+    bool hasBegunToRead() const;
     // Turns have been missed, or will be: loadTurns() has to run again.
     void forgetRead();
     // True if also the journals of peers that were lost since have been read.
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -61,6 +61,9 @@
 // A process that starts is listed by all that it reaches within a few milliseconds; a second for
 // one that was cut off for a moment, doubled.
 constexpr Duration kListingDelay = std::chrono::seconds(2);
+// A registration that is replaced so soon, by a process that restarted, was that of a process which
+// had ended before this one started: the ledgers and journals hold all of it.
+constexpr Duration kStaleRegistration = std::chrono::seconds(3);
 // Batches of a peer are remembered for as long as the users' routes keep turns.
 constexpr Duration kBatchMemory = std::chrono::seconds(60);
 // Messages that wait for a slow subscriber; beyond that its stream is reset and begins anew.
@@ -567,8 +570,10 @@
             }
             if (!peer->isConnected) {
                 peer->isConnected = true;
-                // Turns that were announced without a connection were not heard.
-                self->noteMissedTurns(*peer, update.durable_batch());
+                if (self->keeper.reader().hasBegunToRead()) {
+                    // Turns that were announced without a connection were not heard.
+                    self->noteMissedTurns(*peer, update.durable_batch());
+                }
                 self->log.info("Hears a peer.", Field("peer", peer->member.host),
                                Field("incarnation", peer->member.incarnation));
             }
@@ -675,7 +680,11 @@
         const auto still = kept.find(host);
         peer->isDropped = still == kept.end() || still->second != peer;
         if (peer->isDropped) {
-            d->noteMissedTurns(*peer, std::max<std::uint64_t>(peer->durableBatch, 1));
+            const bool isStale = peer->heardAt == Instant::min()
+                && Private::now() - peer->listedAt < kStaleRegistration;
+            if (!isStale) {
+                d->noteMissedTurns(*peer, std::max<std::uint64_t>(peer->durableBatch, 1));
+            }
         }
     }
     d->peers = std::move(kept);
