Only what a lost peer may have spent keeps programs from a home; a home reaches the store

Ruled out: the store's rates (5,173 calls). Change: missed turns of live peers and unread spending of lost ones are noted apart; a gateway that may miss spending and does not reach the store says that it may not be a home.

--- a/basilhall/gateway/internal/peer_requests.cpp
+++ b/basilhall/gateway/internal/peer_requests.cpp
@@ -100,7 +100,7 @@
     reply.set_verdict(wire::ADMIT_VERDICT_ELSEWHERE);
     for (std::uint32_t round = 0; m_keeper.isLoaded() && round < kAdmissionRounds; ++round) {
         turns::BudgetLedger &budgets = m_state.budgets();
-        if (budgets.isOrphan(turn.program) && !m_keeper.reader().lostPeers().empty()) {
+        if (budgets.isOrphan(turn.program) && m_keeper.reader().mayMissSpending()) {
             // The home that is gone may have written what was not heard.
             Result<void> read = Error(ErrorKind::StoreUnavailable, "journals cannot be read now");
             if (m_keeper.isKeeping()) {
--- a/basilhall/gateway/journal_reader.cpp
+++ b/basilhall/gateway/journal_reader.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace basilhall::gateway
@@ -183,6 +184,7 @@
         self->hasRead = true;
         for (const auto &[peer, heard] : lost) {
             self->lostPeers.erase(peer);
+            self->unreadSpending.erase(peer);
         }
         co_return success();
     }
@@ -197,6 +199,7 @@
                 co_return done;
             }
             self->lostPeers.erase(peer);
+            self->unreadSpending.erase(peer);
         }
         co_return success();
     }
@@ -230,6 +233,8 @@
     std::map<Incarnation, journal::BatchNumber> lostPeers;
     // Last batch of each journal that was read one by one, after those that were known.
     std::map<Incarnation, journal::BatchNumber> lastRead;
+    // Those of them that are gone, or were when a peer told of them.
+    std::set<Incarnation> unreadSpending;
     bool hasRead = false;
     bool hasBegunToRead = false;
     std::uint64_t refreshesBegun = 0;
@@ -279,6 +284,17 @@
 }
 
 void JournalReader::noteLostPeer(const Incarnation &peer, std::uint64_t heard)
+{
+    noteMissedTurns(peer, heard);
+    d->unreadSpending.insert(peer);
+}
+
+bool JournalReader::mayMissSpending() const
+{
+    return !d->unreadSpending.empty();
+}
+
+void JournalReader::noteMissedTurns(const Incarnation &peer, std::uint64_t heard)
 {
     const auto last = d->lastRead.find(peer);
     if (last != d->lastRead.end()) {
--- a/basilhall/gateway/journal_reader.h
+++ b/basilhall/gateway/journal_reader.h
@@ -44,6 +44,11 @@
     // A peer is gone whose journal up to the batch `heard` is known from the peer itself. Batches
     // that were read one by one count as known too.
     void noteLostPeer(const Incarnation &peer, std::uint64_t heard);
+    // The same of a peer that lives: it has told its spending itself, but turns may have been
+    // missed.
+    void noteMissedTurns(const Incarnation &peer, std::uint64_t heard);
+    // True if a journal may hold spending that is not known: no program may get a new home here.
+    bool mayMissSpending() const;
     // Journals that hold more than was heard, each with the last batch that was.
     const std::map<Incarnation, std::uint64_t> &lostPeers() const;
     // True once loadTurns() has succeeded.
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -392,7 +392,10 @@
         wire::Update update;
         update.set_incarnation(self.incarnation.value());
         update.set_durable_batch(keeper.durableBatch());
-        update.set_knows_ledger(keeper.isLoaded());
+        // Without the object API, it cannot learn what a lost home wrote last.
+        update.set_knows_ledger(keeper.isLoaded()
+                                && (!keeper.reader().mayMissSpending()
+                                    || keeper.storeFailingFor() == Duration::zero()));
         return update;
     }
 
@@ -520,32 +523,49 @@
     // What a peer announced, or admitted as home, since it was last heard stands in its journal, or
     // in that of the gateway that writes for it, in batches after the one that was the last then.
     // `batch` is the last of its own journal, as far as is known.
-    void noteMissedTurns(const Peer &missed, std::uint64_t batch)
+    void noteGone(const Peer &gone)
     {
-        // A process tells its peers of itself before it serves its first turn.
-        noteMissedTurns(missed, batch,
-                        missed.heardAt == Instant::min() ? missed.listedAt - kListingDelay
-                                                         : missed.heardAt);
+        JournalReader &reader = keeper.reader();
+        noteMissed(gone, std::max<std::uint64_t>(gone.durableBatch, 1), silentSince(gone),
+                   [&reader](const Incarnation &writer, std::uint64_t batch) {
+                       reader.noteLostPeer(writer, batch);
+                   });
     }
 
+    // The peer lives and tells its spending, but `since` then its turns went to others only.
     void noteMissedTurns(const Peer &missed, std::uint64_t batch, Instant since)
+    {
+        JournalReader &reader = keeper.reader();
+        noteMissed(missed, batch, since, [&reader](const Incarnation &writer, std::uint64_t heard) {
+            reader.noteMissedTurns(writer, heard);
+        });
+    }
+
+    static Instant silentSince(const Peer &peer)
+    {
+        // A process tells its peers of itself before it serves its first turn.
+        return peer.heardAt == Instant::min() ? peer.listedAt - kListingDelay : peer.heardAt;
+    }
+
+    template<typename Note>
+    void noteMissed(const Peer &missed, std::uint64_t batch, Instant since, Note note) const
     {
         if (!isHolder) {
             // Only holders answer for others, and read all journals when they become one.
             return;
         }
         if (batch > 0) {
-            keeper.reader().noteLostPeer(missed.member.incarnation, missed.durableBatch);
+            note(missed.member.incarnation, missed.durableBatch);
         }
         for (const auto &[host, peer] : peers) {
             if (peer->durableBatch == 0 || peer->member == missed.member) {
                 continue;
             }
             std::uint64_t last = peer->batches.front().second;
-            for (const auto &[at, batch] : peer->batches) {
-                last = at <= since ? batch : last;
+            for (const auto &[at, number] : peer->batches) {
+                last = at <= since ? number : last;
             }
-            keeper.reader().noteLostPeer(peer->member.incarnation, last);
+            note(peer->member.incarnation, last);
         }
     }
 
@@ -572,7 +592,7 @@
                 peer->isConnected = true;
                 if (self->keeper.reader().hasBegunToRead()) {
                     // Turns that were announced without a connection were not heard.
-                    self->noteMissedTurns(*peer, update.durable_batch());
+                    self->noteMissedTurns(*peer, update.durable_batch(), silentSince(*peer));
                 }
                 self->log.info("Hears a peer.", Field("peer", peer->member.host),
                                Field("incarnation", peer->member.incarnation));
@@ -683,7 +703,7 @@
             const bool isStale = peer->heardAt == Instant::min()
                 && Private::now() - peer->listedAt < kStaleRegistration;
             if (!isStale) {
-                d->noteMissedTurns(*peer, std::max<std::uint64_t>(peer->durableBatch, 1));
+                d->noteGone(*peer);
             }
         }
     }
@@ -924,7 +944,7 @@
         co_return Error(ErrorKind::Unavailable, "no gateway that may be a home is heard");
     }
     if (!home) {
-        if (!self->keeper.reader().lostPeers().empty()) {
+        if (self->keeper.reader().mayMissSpending()) {
             // The home that is gone may have written what was not heard.
             if (!self->keeper.isKeeping()) {
                 co_return Error(ErrorKind::StoreUnavailable, "journals cannot be read now");
