--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -257,6 +257,12 @@
                 if (!self->commitFailingSince) {
                     self->commitFailingSince = now();
                 }
+            }
+            // A turn that has run is worth an own journal; a budget is asked for again.
+            const bool hasTurn =
+                std::any_of(records.begin(), records.end(),
+                            [](const journal::Record &record) { return record.has_turn_kept(); });
+            if (outcome == CommitOutcome::Failed && !hasTurn) {
                 co_return Error(ErrorKind::StoreUnavailable, "no gateway makes records durable")
                     .withRetryAfter(kStoreRetry);
             }
