A writer that refused records once no longer counts as an outage of the store

Ruled out: a silent watch (the removal was heard 0.2 s after it). Change: the refusal counts for 2 s, and not after the gateway has written itself. Test, red before (2 checks): aWriterThatFailedOnceIsForgotten.

--- a/basilhall/gateway/peer_mesh_test.cpp
+++ b/basilhall/gateway/peer_mesh_test.cpp
@@ -204,6 +204,25 @@
     BOOST_TEST((found && found.value() == "inoutinoutnext"));
 }
 
+// A writer that did not take records once must not make the object API count as away for good:
+// registrations that are removed would stay.
+BOOST_AUTO_TEST_CASE(aWriterThatFailedOnceIsForgotten)
+{
+    connect();
+    beatUntil([this] { return strong->mesh.isToldOfTurns() && !weak->mesh.isHolder(); });
+    strong->isCutFromStore = true;
+    weak->state.budgets().claim(ProgramId("p"), MonotonicClock().now());
+    runCoroutine(context, [&]() -> asio::awaitable<void> {
+        const Result<void> covered = co_await weak->keeper.cover(ProgramId("p"), 2s);
+        BOOST_TEST(!covered.has_value());
+    });
+    BOOST_TEST(!weak->keeper.isKeeping());
+    strong->isCutFromStore = false;
+    BOOST_TEST(keep(*weak, turn("t1")).has_value());
+    BOOST_TEST((weak->keeper.storeFailingFor() == Duration::zero()));
+    BOOST_TEST(weak->keeper.isKeeping());
+}
+
 BOOST_AUTO_TEST_CASE(aGatewayWritesItselfIfTheWriterCannot)
 {
     connect();
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -39,6 +39,9 @@
 constexpr std::size_t kRemovalsPerRound = 20;
 // Pause before the first ledger is written again.
 constexpr Duration kLedgerRetry = std::chrono::milliseconds(200);
+// Writers that refused records longer ago say nothing of the object API now; refused records come
+// back within a second.
+constexpr Duration kCommitMemory = std::chrono::seconds(2);
 // Pause after a peer could not help, before the next record tries one.
 constexpr Duration kRelayRetry = std::chrono::seconds(1);
 // The journals are read within seconds of a start; a turn comes up at any moment of it.
@@ -171,12 +174,31 @@
                 log.info("Object API takes records again.", Field("after", now() - *failingSince));
             }
             failingSince.reset();
+            commitFailingSince.reset();
         } else if (!failingSince) {
             failingSince = now();
             log.warning("Object API does not take records.", Field("reason", *error));
         }
     }
 
+    void noteCommitFailed()
+    {
+        const Instant time = now();
+        if (!commitFailingSince || time - *commitFailedAt > kCommitMemory) {
+            commitFailingSince = time;
+        }
+        commitFailedAt = time;
+    }
+
+    // How long the gateways that write have refused records; zero if none was handed to them
+    // lately.
+    Duration commitFailingFor() const
+    {
+        const Instant time = now();
+        const bool isFailing = commitFailingSince && time - *commitFailedAt <= kCommitMemory;
+        return isFailing ? time - *commitFailingSince : Duration::zero();
+    }
+
     void schedule(Instant at)
     {
         const Duration delay = std::max(at - now(), Duration::zero());
@@ -253,10 +275,7 @@
                 co_return success();
             }
             if (outcome == CommitOutcome::Failed) {
-                self->commitFailedAt = now();
-                if (!self->commitFailingSince) {
-                    self->commitFailingSince = now();
-                }
+                self->noteCommitFailed();
             }
             // A turn that has run is worth an own journal; a budget is asked for again.
             const bool hasTurn =
@@ -545,9 +564,8 @@
 
 Duration TurnKeeper::storeFailingFor() const
 {
-    const Instant now = Private::now();
-    return std::max(d->failingSince ? now - *d->failingSince : Duration::zero(),
-                    d->commitFailingSince ? now - *d->commitFailingSince : Duration::zero());
+    const Duration failing = d->failingSince ? Private::now() - *d->failingSince : Duration::zero();
+    return std::max(failing, d->commitFailingFor());
 }
 
 bool TurnKeeper::isKeeping() const
