Budgets: the newest record of a home counts, and an ended turn is recorded again

Found by reading; the ledger tests show it. Records now carry a number, and the newest replaces earlier ones. Until a lower record is known to be the newest, turns are admitted only under the lowest record that may become it. A record without a turn in flight is written only if the recorded maximum would block the next turn.

--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -209,6 +209,7 @@
         Instant nextHousekeeping = now();
         while (!self->isStopped) {
             self->mesh.flush();
+            self->keeper.coverOvercounted();
             if (self->keeper.storeFailingFor() >= kStoreOutageThreshold) {
                 self->state.noteStoreOutage(now());
             }
--- a/basilhall/gateway/record_codec.cpp
+++ b/basilhall/gateway/record_codec.cpp
@@ -12,6 +12,7 @@
     record.set_spent_tokens(report.spent);
     record.set_covered_tokens(report.covered);
     record.set_total_tokens(report.total);
+    record.set_total_number(report.totalNumber);
     return record;
 }
 
@@ -23,6 +24,7 @@
     report.spent = record.spent_tokens();
     report.covered = record.covered_tokens();
     report.total = record.total_tokens();
+    report.totalNumber = record.total_number();
     return report;
 }
 
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -475,6 +475,16 @@
     d->scheduleCover();
 }
 
+void TurnKeeper::coverOvercounted()
+{
+    if (!canPersist()) {
+        return;
+    }
+    for (const ProgramId &program : d->state.budgets().overcountedPrograms()) {
+        coverSoon(program);
+    }
+}
+
 asio::awaitable<Result<void>> TurnKeeper::keepForPeer(std::vector<journal::Record> records,
                                                       Duration timeout)
 {
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -94,6 +94,8 @@
     boost::asio::awaitable<Result<void>> cover(ProgramId program, Duration timeout);
     // The same in the background, so that the next turn of the program does not have to wait.
     void coverSoon(const ProgramId &program);
+    // Writes new records of programs whose durable record counts too much; call it periodically.
+    void coverOvercounted();
     // Makes the records of a peer durable.
     boost::asio::awaitable<Result<void>> keepForPeer(std::vector<journal::Record> records,
                                                      Duration timeout);
--- a/basilhall/turns/budget_ledger.cpp
+++ b/basilhall/turns/budget_ledger.cpp
@@ -1,6 +1,7 @@
 #include "basilhall/turns/budget_ledger.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace basilhall::turns
@@ -23,6 +24,18 @@
     return isLost ? std::max(covered, reported) : reported;
 }
 
+void BudgetLedger::Share::applyTotals(const SpendReport &report)
+{
+    if (report.totalNumber > totalNumber) {
+        totalNumber = report.totalNumber;
+        covered = report.covered;
+        totalAsHome = report.total;
+    } else if (report.totalNumber == totalNumber || report.totalNumber == 0) {
+        covered = std::max(covered, report.covered);
+        totalAsHome = std::max(totalAsHome, report.total);
+    }
+}
+
 BudgetLedger::BudgetLedger(Incarnation self)
     : m_self(std::move(self))
 {
@@ -37,6 +50,7 @@
 
 void BudgetLedger::noteChange(const ProgramId &program, Account &account)
 {
+    ++account.changeNumber;
     if (!std::exchange(account.hasPendingChange, true)) {
         m_changedPrograms.push_back(program);
     }
@@ -53,18 +67,49 @@
     return std::max(sum, reportedTotal);
 }
 
+std::uint64_t BudgetLedger::durableTotal(const Account &account)
+{
+    if (account.durableNumber == 0) {
+        return 0;
+    }
+    std::uint64_t lowest = std::numeric_limits<std::uint64_t>::max();
+    for (const auto &[number, recorded] : account.recordedTotals) {
+        lowest = std::min(lowest, recorded);
+    }
+    return lowest;
+}
+
+bool BudgetLedger::isOvercounted(const Account &account)
+{
+    const auto newest = account.recordedTotals.find(account.durableNumber);
+    if (newest == account.recordedTotals.end()
+        || newest->second + account.maxTurnTokens <= account.budget) {
+        return false;
+    }
+    const bool hasTurnInFlight =
+        std::any_of(account.shares.begin(), account.shares.end(), [](const auto &entry) {
+            return entry.second.inFlight > 0
+                || entry.second.grantsIssued > entry.second.grantsReported;
+        });
+    return !hasTurnInFlight && total(account) < newest->second;
+}
+
 Admission BudgetLedger::admission(Account &account, const TurnBudget &turn, Instant now)
 {
     for (auto &[incarnation, share] : account.shares) {
-        if (!share.isLost && now - share.grantedAt > kGrantReportTimeout) {
+        if (!share.isLost && share.grantsIssued > share.grantsReported
+            && now - share.grantedAt > kGrantReportTimeout) {
             share.grantsIssued = std::min(share.grantsIssued, share.grantsReported);
+            ++account.changeNumber;
         }
     }
+    account.budget = turn.budget;
+    account.maxTurnTokens = std::max(account.maxTurnTokens, turn.maxTokens);
     const std::uint64_t before = total(account);
     if (before + turn.maxTokens > turn.budget) {
         return Admission::Exhausted;
     }
-    return before > account.durableTotal ? Admission::NeedsRecord : Admission::Admitted;
+    return before > durableTotal(account) ? Admission::NeedsRecord : Admission::Admitted;
 }
 
 bool BudgetLedger::isOrphan(const Account &account) const
@@ -159,6 +204,9 @@
     local.inFlight -= std::min(local.inFlight, maxTokens);
     local.spent += spent;
     noteChange(program, entry);
+    if (entry.home == m_self) {
+        m_settledPrograms.insert(program);
+    }
 }
 
 SpendReport BudgetLedger::report(const ProgramId &program, const Account &account) const
@@ -175,27 +223,47 @@
             local->second.inFlight,
             local->second.grantsReported,
             isHome,
-            isHome ? total(account) : 0};
+            isHome ? total(account) : 0,
+            isHome ? account.changeNumber : 0};
 }
 
-SpendReport BudgetLedger::record(const ProgramId &program) const
+SpendReport BudgetLedger::record(const ProgramId &program)
 {
     const auto found = m_programs.find(program);
     if (found == m_programs.end()) {
         return {program, {}};
     }
     SpendReport made = report(program, found->second);
-    made.covered = std::max(made.covered, made.spent + made.inFlight);
+    made.covered = made.spent + made.inFlight;
+    if (made.isHome) {
+        found->second.recordedTotals[made.totalNumber] = made.total;
+    } else {
+        made.covered = std::max(made.covered, found->second.shares[m_self].covered);
+    }
     return made;
 }
 
+std::vector<ProgramId> BudgetLedger::overcountedPrograms()
+{
+    std::erase_if(m_settledPrograms, [this](const ProgramId &program) {
+        const auto found = m_programs.find(program);
+        return found == m_programs.end() || found->second.home != m_self
+            || !isOvercounted(found->second);
+    });
+    return {m_settledPrograms.begin(), m_settledPrograms.end()};
+}
+
 void BudgetLedger::onDurable(const SpendReport &record)
 {
     const auto found = m_programs.find(record.program);
     if (found != m_programs.end()) {
-        Share &local = found->second.shares[m_self];
-        local.covered = std::max(local.covered, record.covered);
-        found->second.durableTotal = std::max(found->second.durableTotal, record.total);
+        Account &entry = found->second;
+        entry.shares[m_self].applyTotals(record);
+        if (record.isHome && record.totalNumber > entry.durableNumber) {
+            entry.durableNumber = record.totalNumber;
+            entry.recordedTotals.erase(entry.recordedTotals.begin(),
+                                       entry.recordedTotals.lower_bound(record.totalNumber));
+        }
     }
 }
 
@@ -229,8 +297,16 @@
     for (const auto &[program, entry] : m_programs) {
         SpendReport sum{program, entry.team};
         sum.total = total(entry);
+        if (entry.home == m_self) {
+            sum.totalNumber = entry.changeNumber;
+        }
         for (const auto &[incarnation, share] : entry.shares) {
-            sum.total = std::max(sum.total, share.totalAsHome);
+            if (incarnation != m_self) {
+                sum.total = std::max(sum.total, share.totalAsHome);
+            }
+            if (incarnation == entry.home && incarnation != m_self) {
+                sum.totalNumber = share.totalNumber;
+            }
         }
         if (sum.total > 0) {
             reports.emplace_back(entry.home.isEmpty() ? m_self : entry.home, std::move(sum));
@@ -252,8 +328,10 @@
     const auto [at, isNew] = entry.shares.try_emplace(writer);
     at->second.isLost = isNew || at->second.isLost;
     at->second.spent = std::max(at->second.spent, report.spent);
-    at->second.covered = std::max(at->second.covered, report.covered);
-    at->second.totalAsHome = std::max(at->second.totalAsHome, report.total);
+    at->second.applyTotals(report);
+    if (entry.home == m_self) {
+        ++entry.changeNumber;
+    }
 }
 
 void BudgetLedger::onPeerReport(const Incarnation &peer, const SpendReport &report, Instant now)
@@ -267,7 +345,7 @@
     }
     const auto [at, isNew] = entry.shares.try_emplace(peer);
     Share &share = at->second;
-    share.totalAsHome = std::max(share.totalAsHome, report.total);
+    share.applyTotals(report);
     // Reports of one incarnation may arrive over two connections and out of order.
     if (report.spent < share.spent || report.grants < share.grantsReported) {
         return;
@@ -280,7 +358,10 @@
     share.grantsReported = report.grants;
     share.spent = report.spent;
     share.inFlight = report.inFlight;
-    share.covered = std::max(share.covered, report.covered);
+    if (entry.home == m_self) {
+        ++entry.changeNumber;
+        m_settledPrograms.insert(report.program);
+    }
 }
 
 void BudgetLedger::onPeerLost(const Incarnation &peer)
@@ -289,6 +370,7 @@
         const auto found = entry.shares.find(peer);
         if (found != entry.shares.end()) {
             found->second.isLost = true;
+            ++entry.changeNumber;
         }
     }
 }
--- a/basilhall/turns/budget_ledger.h
+++ b/basilhall/turns/budget_ledger.h
@@ -22,6 +22,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -68,6 +69,9 @@
     // Upper bound of the tokens that all incarnations together have delivered, as known to the
     // home; 0 if the incarnation is not the home.
     std::uint64_t total = 0;
+    // Increases with each change of `covered` and `total`: a report replaces those with lower
+    // numbers. 0 if unknown; such a report only raises the amounts.
+    std::uint64_t totalNumber = 0;
 
     auto operator<=>(const SpendReport &) const = default;
 };
@@ -96,11 +100,16 @@
     void settle(const ProgramId &program, std::uint64_t maxTokens, std::uint64_t spent,
                 Instant now);
 
-    // Returns the local record of a program. It covers what is spent and in flight here and, if
-    // this incarnation is the home, at all gateways.
-    SpendReport record(const ProgramId &program) const;
+    // Returns a new local record of a program. It covers what is spent and in flight here and, if
+    // this incarnation is the home, at all gateways. Once durable, it replaces earlier records, so
+    // further turns are admitted only as far as this record and all earlier ones cover them.
+    SpendReport record(const ProgramId &program);
     // Records that `record` has become durable.
     void onDurable(const SpendReport &record);
+    // Returns the programs of this home whose newest durable record counts ended turns with their
+    // maximum tokens, so that a successor could refuse a turn that the budget allows. A program is
+    // returned until a lower record is durable.
+    std::vector<ProgramId> overcountedPrograms();
     // Returns the local reports that changed since the last call, to send to peers.
     std::vector<SpendReport> takeChanges();
     // Returns all local reports, to send to a peer that has just connected.
@@ -137,6 +146,8 @@
         Instant grantedAt;
         // The total that it reported as the home; used once it is lost.
         std::uint64_t totalAsHome = 0;
+        // Number of the report that `covered` and `totalAsHome` are from.
+        std::uint64_t totalNumber = 0;
         // The part of upperBound() that the base of the account includes.
         std::uint64_t countedInBase = 0;
         // No live process reports this share: it was read from a journal, or its process is lost.
@@ -144,6 +155,8 @@
 
         // Upper bound of the tokens that the incarnation has delivered.
         std::uint64_t upperBound() const;
+        // Applies `covered` and `total` of a report unless a later one has been applied.
+        void applyTotals(const SpendReport &report);
     };
     struct Account {
         TeamName team;
@@ -152,8 +165,15 @@
         // Tokens delivered before this incarnation became the home. Only spending beyond it is
         // added from the shares.
         std::uint64_t base = 0;
-        // Highest total in a durable record that this incarnation wrote as the home.
-        std::uint64_t durableTotal = 0;
+        // Totals of the records that this incarnation made as the home, by number: the newest
+        // durable one and those made after it.
+        std::map<std::uint64_t, std::uint64_t> recordedTotals;
+        std::uint64_t durableNumber = 0;
+        // Number of the last change of an amount.
+        std::uint64_t changeNumber = 0;
+        // From the last turn that was admitted as the home.
+        std::uint64_t budget = 0;
+        std::uint64_t maxTurnTokens = 0;
         Instant changedAt;
         bool hasPendingChange = false;
     };
@@ -162,6 +182,9 @@
     void noteChange(const ProgramId &program, Account &account);
     bool isOrphan(const Account &account) const;
     static std::uint64_t total(const Account &account);
+    // The total that a successor finds at least, whichever of the issued records become durable.
+    static std::uint64_t durableTotal(const Account &account);
+    static bool isOvercounted(const Account &account);
     // Decides on one more turn as the home, without recording it.
     static Admission admission(Account &account, const TurnBudget &turn, Instant now);
     SpendReport report(const ProgramId &program, const Account &account) const;
@@ -169,6 +192,8 @@
     Incarnation m_self;
     std::unordered_map<ProgramId, Account> m_programs;
     std::vector<ProgramId> m_changedPrograms;
+    // Programs of this home with a turn that ended, for overcountedPrograms().
+    std::set<ProgramId> m_settledPrograms;
 };
 
 } // namespace basilhall::turns
--- a/basilhall/turns/budget_ledger_test.cpp
+++ b/basilhall/turns/budget_ledger_test.cpp
@@ -152,6 +152,68 @@
     BOOST_TEST(ledger.spent(kProgram) == 800U);
 }
 
+// The home records a turn in flight with its maximum, then its end, and is lost with all others.
+// The records may be read in any order.
+BOOST_AUTO_TEST_CASE(newestRecordOfALostHomeCounts)
+{
+    BOOST_TEST((admit(575) == Admission::Admitted));
+    const SpendReport inFlight = ledger.record(kProgram);
+    ledger.settle(kProgram, 575, 100, kNow);
+    const SpendReport ended = ledger.record(kProgram);
+    for (const bool newestFirst : {false, true}) {
+        BudgetLedger successor{kPeer};
+        successor.onJournalReport(kSelf, newestFirst ? ended : inFlight, kNow);
+        successor.onJournalReport(kSelf, newestFirst ? inFlight : ended, kNow);
+        BOOST_TEST(successor.spent(kProgram) == 100U);
+        successor.claim(kProgram, kNow);
+        successor.onDurable(successor.record(kProgram));
+        BOOST_TEST((successor.admit({kProgram, kTeam, 1000, 575}, kNow) == Admission::Admitted));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(endedTurnIsRecordedAgainIfItsMaximumWouldBlockTheNextTurn)
+{
+    BOOST_TEST((admit(575) == Admission::Admitted));
+    cover();
+    BOOST_TEST(ledger.overcountedPrograms().empty());
+    ledger.settle(kProgram, 575, 100, kNow);
+    BOOST_TEST((ledger.overcountedPrograms() == std::vector{kProgram}));
+    cover();
+    BOOST_TEST(ledger.overcountedPrograms().empty());
+}
+
+BOOST_AUTO_TEST_CASE(endedTurnIsNotRecordedAgainWhileTheBudgetIsLarge)
+{
+    BOOST_TEST((admit(400) == Admission::Admitted));
+    cover();
+    ledger.settle(kProgram, 400, 100, kNow);
+    BOOST_TEST(ledger.overcountedPrograms().empty());
+}
+
+// A record with a lower total is written while turns are admitted under an earlier, higher one.
+BOOST_AUTO_TEST_CASE(turnsAreAdmittedUnderTheLowestRecordThatMayBecomeTheNewest)
+{
+    BOOST_TEST((admit(500) == Admission::Admitted));
+    cover();
+    ledger.settle(kProgram, 500, 50, kNow);
+    const SpendReport lower = ledger.record(kProgram);
+    BOOST_TEST((admit(200) == Admission::Admitted));
+    BOOST_TEST((admit(200) == Admission::NeedsRecord));
+    ledger.onDurable(lower);
+    BOOST_TEST((admit(200) == Admission::NeedsRecord));
+    // An older record that becomes durable late covers nothing.
+    ledger.onDurable({kProgram, kTeam, 0, 500, 500, 0, true, 500, 1});
+    BOOST_TEST((admit(200) == Admission::NeedsRecord));
+}
+
+// A gateway of the previous version writes records without numbers.
+BOOST_AUTO_TEST_CASE(recordWithoutNumberOnlyRaisesTheTotal)
+{
+    ledger.onJournalReport(kPeer, {kProgram, kTeam, 0, 300, 0, 0, true, 300}, kNow);
+    ledger.onJournalReport(kPeer, {kProgram, kTeam, 0, 200, 0, 0, true, 200}, kNow);
+    BOOST_TEST(ledger.spent(kProgram) == 300U);
+}
+
 // The size of the summary does not depend on the number of gateways: here the turns ran at 40.
 BOOST_AUTO_TEST_CASE(summaryHasOneEntryPerProgram)
 {
