Placement: learn how fast engines work, prefer the own failure domain, avoid slow endpoints

The load of peers at an endpoint is summed on change, not per choice, which read gateways x endpoints entries for each request.

--- a/basilhall/gateway/call_context.h
+++ b/basilhall/gateway/call_context.h
@@ -8,6 +8,7 @@
 #include "basilhall/gateway/call.h"
 #include "basilhall/http/cancellation.h"
 #include "basilhall/http/exchange.h"
+#include "basilhall/placement/engine_model.h"
 #include "basilhall/placement/work.h"
 
 #include <cstdint>
@@ -40,6 +41,9 @@
     std::uint32_t runs = 0;
     std::uint32_t sends = 0;
     EndpointName endpoint;
+    // The last send, and the state of its endpoint at that time.
+    Instant sentAt;
+    placement::SendConditions sendConditions;
 
     bool isCallerGone = false;
     std::shared_ptr<http::Cancellation> cancellation = std::make_shared<http::Cancellation>();
--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -176,7 +176,8 @@
     {
         context->endpoint = endpoint.name;
         ++context->sends;
-        m_state.placement().onSent(endpoint.name, context->work);
+        context->sentAt = MonotonicClock().now();
+        context->sendConditions = m_state.placement().onSent(endpoint.name, context->work);
         http::RequestOptions options;
         options.cancellation = context->cancellation;
         options.connectTimeout = kEndpointConnectTimeout;
@@ -232,9 +233,18 @@
         }
     }
 
+    // Reports an attempt that the endpoint did not complete, unless the caller ended it.
+    void reportFailure(const CallContext &context, const EndpointName &endpoint)
+    {
+        if (!context.isCallerGone) {
+            m_state.placement().onFailed(endpoint, MonotonicClock().now());
+        }
+    }
+
     void noteFailure(CallContext &context, const fleet::Endpoint &endpoint, const Error &error)
     {
         context.tried.insert(endpoint.name);
+        reportFailure(context, endpoint.name);
         if (error.notRun()) {
             m_state.placement().suspend(endpoint.name, MonotonicClock().now() + kUnreachablePause);
         } else {
@@ -255,10 +265,13 @@
             auto response = co_await readResponse(context, *answer.value());
             m_state.placement().onFinished(context->endpoint, context->work);
             if (response) {
+                m_state.placement().onAnswered(context->endpoint, context->sendConditions, {},
+                                               MonotonicClock().now());
                 context->hasResponseStarted = true;
                 co_return co_await context->exchange->respond(std::move(response).value());
             }
             context->tried.insert(context->endpoint);
+            reportFailure(*context, context->endpoint);
             m_log.failed(*context, response.error());
             if (!fleet::isRepeatable(*context->route) || context->isCallerGone
                 || context->runs >= context->route->maxAttempts) {
@@ -418,9 +431,11 @@
             answer.value().reset();
             m_state.placement().onFinished(endpoint, context->work);
             if (forwarded) {
+                reportTurn(*context, endpoint);
                 co_return co_await endTurn(context);
             }
             context->tried.insert(endpoint);
+            reportFailure(*context, endpoint);
             m_log.failed(*context, forwarded.error());
             if (!m_state.hasEndpoint(endpoint)) {
                 // A run on an endpoint that has been removed does not count as an attempt.
@@ -433,6 +448,20 @@
         }
     }
 
+    // Reports the timing of a complete turn. A turn that went on at another endpoint says nothing
+    // about the time to the first event of the last one.
+    void reportTurn(const CallContext &context, const EndpointName &endpoint)
+    {
+        if (!context.firstEventAt || context.isFailureAnswer
+            || *context.firstEventAt < context.sentAt) {
+            return;
+        }
+        const Instant now = MonotonicClock().now();
+        const placement::AnswerTiming timing{*context.firstEventAt - context.sentAt,
+                                             now - *context.firstEventAt, context.events};
+        m_state.placement().onAnswered(endpoint, context.sendConditions, timing, now);
+    }
+
     // Forwards the complete events of one run.
     boost::asio::awaitable<Result<void>> forwardAnswer(std::shared_ptr<CallContext> context,
                                                        http::ResponseStream &stream)
--- a/basilhall/gateway/internal/update_codec.cpp
+++ b/basilhall/gateway/internal/update_codec.cpp
@@ -26,11 +26,13 @@
         admitted.set_team(team.value());
         admitted.set_requests(requests);
     }
-    for (const auto &[endpoint, load] : state.placement().takeLoadChanges()) {
+    for (const auto &[endpoint, load, pace] : state.placement().takeLoadChanges()) {
         wire::EndpointLoad &entry = *update.add_loads();
         entry.set_endpoint(endpoint.value());
         entry.set_requests(load.requests);
         entry.set_tokens(load.tokens);
+        entry.set_answers(pace.answers);
+        entry.set_time_ratio_sum(pace.ratioSum);
     }
     for (const placement::PromptUse &use : state.placement().takeUses()) {
         wire::PromptUse &entry = *update.add_uses();
@@ -65,8 +67,11 @@
         state.onPeerAdmitted(TeamName(admitted.team()), admitted.requests(), now);
     }
     for (const wire::EndpointLoad &load : update.loads()) {
-        state.placement().onPeerLoad(from, EndpointName(load.endpoint()),
-                                     {load.requests(), load.tokens()});
+        const EndpointName endpoint(load.endpoint());
+        state.placement().onPeerLoad(from, endpoint, {load.requests(), load.tokens()});
+        if (load.answers() > 0) {
+            state.placement().onPeerPace(endpoint, {load.answers(), load.time_ratio_sum()}, now);
+        }
     }
     for (const wire::PromptUse &use : update.uses()) {
         placement::PromptUse known{EndpointName(use.endpoint()), {}};
--- /dev/null
+++ b/basilhall/placement/engine_model_test.cpp
@@ -0,0 +1,61 @@
+#include "basilhall/placement/engine_model.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace basilhall;
+using namespace basilhall::placement;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// An engine that prefills 50 tokens per ms and generates 3 tokens per event in steps of 5.2 ms.
+AnswerTiming slowPrefillTiming(const SendConditions &conditions)
+{
+    const double intervalMs = 3 * (5.2 + 0.04 * conditions.runningRequests);
+    const auto ms = [](double value) { return Duration(static_cast<Duration::rep>(value * 1e6)); };
+    return {ms(20.0 + static_cast<double>(conditions.uncachedTokens) / 50), ms(10 * intervalMs),
+            11};
+}
+
+EngineModel trained()
+{
+    EngineModel model;
+    for (std::uint32_t i = 0; i < 300; ++i) {
+        const SendConditions conditions{(i * 37) % 4000, i % 5};
+        model.onAnswer(conditions, slowPrefillTiming(conditions));
+    }
+    return model;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(engine_model)
+
+BOOST_AUTO_TEST_CASE(initialValuesHoldBeforeThereAreAnswers)
+{
+    const EngineModel model;
+    BOOST_TEST(model.prefillMs(14'700) == 100.0, boost::test_tools::tolerance(0.01));
+    BOOST_TEST(model.timeRatio({}, {5s, 5s, 3}) == 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(prefillTimeIsLearnedFromAnswers)
+{
+    const EngineModel model = trained();
+    BOOST_TEST(model.prefillMs(5000) == 100.0, boost::test_tools::tolerance(0.1));
+    BOOST_TEST(model.slowdownMs(4) < 10.0);
+    BOOST_TEST(model.turnMs() == 220.0, boost::test_tools::tolerance(0.15));
+}
+
+BOOST_AUTO_TEST_CASE(ratioComparesAnAnswerWithOthersUnderTheSameConditions)
+{
+    const EngineModel model = trained();
+    const SendConditions conditions{3000, 2};
+    AnswerTiming timing = slowPrefillTiming(conditions);
+    BOOST_TEST(model.timeRatio(conditions, timing) == 1.0, boost::test_tools::tolerance(0.1));
+    timing.untilFirstEvent *= 4;
+    timing.streaming *= 4;
+    BOOST_TEST(model.timeRatio(conditions, timing) == 4.0, boost::test_tools::tolerance(0.1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/basilhall/placement/placement.cpp
+++ b/basilhall/placement/placement.cpp
@@ -9,18 +9,14 @@
 namespace
 {
 
-// Prompt tokens that an engine prefills per millisecond; 147 in the sheets of all deployments.
-constexpr double kPrefillTokensPerMs = 147.0;
-// Slowdown of a turn by each other request in the batch, in ms: 0.038 ms per step (from the site
-// files) times the 250 steps of a mean answer.
-constexpr double kMsPerRunningRequest = 9.5;
-// Mean time of a turn in a full batch, in ms. A new request waits this time, divided by the
-// number of slots, for each request that has to finish before it gets a slot.
-constexpr double kMeanTurnMs = 500.0;
 // Mean time of a call of a plain service, in ms, from the deployments' sheets.
 constexpr double kMeanServiceCallMs = 40.0;
 // Network round trip to another failure domain, in ms, from the deployments' sheets.
 constexpr double kCrossDomainRoundTripMs = 3.0;
+// Number of endpoints in the own failure domain, enough to even out the load among them, from which
+// others are chosen only if they save more than kRemoteCostMs.
+constexpr std::size_t kManyLocalEndpoints = 8;
+constexpr double kRemoteCostMs = 30.0;
 // Cost, in ms, of an engine whose cache memory would be filled beyond kPreemptionThreshold.
 constexpr double kMemoryFullPenaltyMs = 400.0;
 // Fraction of an engine's cache memory above which it preempts requests.
@@ -36,12 +32,19 @@
 
 Load Placement::State::totalLoad() const
 {
-    Load sum = localLoad;
-    for (const auto &[peer, load] : peerLoads) {
-        sum.requests += load.requests;
-        sum.tokens += load.tokens;
+    return {localLoad.requests + peerSum.requests, localLoad.tokens + peerSum.tokens};
+}
+
+void Placement::State::setPeerLoad(const Incarnation &peer, Load load)
+{
+    const auto at = peerLoads.try_emplace(peer).first;
+    peerSum.requests = peerSum.requests - at->second.requests + load.requests;
+    peerSum.tokens = peerSum.tokens - at->second.tokens + load.tokens;
+    if (load == Load()) {
+        peerLoads.erase(at);
+    } else {
+        at->second = load;
     }
-    return sum;
 }
 
 Placement::Placement(FailureDomain domain)
@@ -65,6 +68,7 @@
     if (isNew || isRestarted || state.engine != engine) {
         state.cache = PrefixCache(engine ? engine->cacheTokens : 0);
         state.suspendedUntil = Instant::min();
+        state.pace = EndpointPace();
     }
     state.endpoint = endpoint;
     state.engine = engine;
@@ -92,31 +96,47 @@
     return !state.endpoint.isLeaving && now >= state.suspendedUntil;
 }
 
-double Placement::cost(const State &state, const Work &work) const
+double Placement::remoteCostMs(const std::vector<EndpointName> &names, Instant now) const
+{
+    const auto local = std::count_if(names.begin(), names.end(), [&](const EndpointName &name) {
+        const State &state = m_states.at(name);
+        return state.endpoint.failureDomain == m_domain && acceptsWork(state, now);
+    });
+    return static_cast<std::size_t>(local) >= kManyLocalEndpoints ? kRemoteCostMs
+                                                                  : kCrossDomainRoundTripMs;
+}
+
+double Placement::cost(const State &state, const Work &work, double remoteMs, Instant now) const
 {
     const Load load = state.totalLoad();
-    const double networkMs =
-        state.endpoint.failureDomain == m_domain ? 0.0 : kCrossDomainRoundTripMs;
+    const double networkMs = state.endpoint.failureDomain == m_domain ? 0.0 : remoteMs;
+    const double pace = state.pace.factor(now);
     if (!state.engine) {
         const std::uint32_t slots = std::max(state.endpoint.slots, 1U);
-        return networkMs + kMeanServiceCallMs * requestsAhead(load.requests, slots) / slots
+        const double waitMs = kMeanServiceCallMs * requestsAhead(load.requests, slots) / slots
             + static_cast<double>(load.requests) / slots;
+        // An idle endpoint that fails requests has no wait, but costs the time of a call.
+        return networkMs + waitMs * pace + kMeanServiceCallMs * (pace - 1);
     }
+    const auto found = m_models.find(work.service);
+    static const EngineModel initial;
+    const EngineModel &model = found == m_models.end() ? initial : found->second;
     const std::uint32_t slots = std::max(state.engine->batchSlots, 1U);
     std::uint64_t promptTokens = 0;
     for (const PromptPart &part : work.prompt) {
         promptTokens += part.tokens;
     }
     const std::uint64_t cached = state.cache.cachedTokens(work.prompt);
-    double ms = networkMs + static_cast<double>(promptTokens - cached) / kPrefillTokensPerMs;
-    ms += kMsPerRunningRequest * std::min(load.requests, slots);
-    ms += kMeanTurnMs * requestsAhead(load.requests, slots) / slots;
+    double ms = model.prefillMs(promptTokens - cached)
+        + model.slowdownMs(std::min(load.requests, slots))
+        + model.turnMs() * requestsAhead(load.requests, slots) / slots;
+    ms = ms * pace + model.turnMs() * (pace - 1);
     const double preemptionTokens =
         kPreemptionThreshold * static_cast<double>(state.engine->cacheTokens);
     if (static_cast<double>(load.tokens + work.tokens) > preemptionTokens) {
         ms += kMemoryFullPenaltyMs;
     }
-    return ms;
+    return networkMs + ms;
 }
 
 const fleet::Endpoint *Placement::choose(const Work &work, const std::set<EndpointName> &excluded,
@@ -127,6 +147,7 @@
         return nullptr;
     }
     const std::vector<EndpointName> &names = found->second;
+    const double remoteMs = remoteCostMs(names, now);
     const State *best = nullptr;
     double bestCost = 0;
     // Starts at a random endpoint, so that endpoints of equal cost share the load.
@@ -136,7 +157,7 @@
         if (!acceptsWork(state, now) || excluded.contains(name)) {
             continue;
         }
-        const double ms = cost(state, work);
+        const double ms = cost(state, work, remoteMs, now);
         if (best == nullptr || ms < bestCost) {
             best = &state;
             bestCost = ms;
@@ -169,13 +190,18 @@
     }
 }
 
-void Placement::onSent(const EndpointName &name, const Work &work)
+SendConditions Placement::onSent(const EndpointName &name, const Work &work)
 {
     const auto found = m_states.find(name);
     if (found == m_states.end()) {
-        return;
+        return {};
     }
     State &state = found->second;
+    SendConditions conditions{0, state.totalLoad().requests};
+    for (const PromptPart &part : work.prompt) {
+        conditions.uncachedTokens += part.tokens;
+    }
+    conditions.uncachedTokens -= state.cache.cachedTokens(work.prompt);
     ++state.localLoad.requests;
     state.localLoad.tokens += work.tokens;
     markLoadChanged(state);
@@ -183,6 +209,42 @@
         state.cache.add(work.prompt);
         m_promptUses.push_back({name, work.prompt});
     }
+    return conditions;
+}
+
+void Placement::addPace(State &state, double ratio, Instant now)
+{
+    const PaceSample sample{1, ratio};
+    state.pace.add(sample, now);
+    ++state.pendingPace.answers;
+    state.pendingPace.ratioSum += ratio;
+    markLoadChanged(state);
+}
+
+void Placement::onAnswered(const EndpointName &name, const SendConditions &conditions,
+                           const AnswerTiming &timing, Instant now)
+{
+    const auto found = m_states.find(name);
+    if (found == m_states.end()) {
+        return;
+    }
+    State &state = found->second;
+    if (!state.engine) {
+        // Calls of plain services differ too much in length to compare them.
+        addPace(state, 1, now);
+        return;
+    }
+    EngineModel &model = modelOf(state);
+    addPace(state, std::min(model.timeRatio(conditions, timing), kFailureRatio), now);
+    model.onAnswer(conditions, timing);
+}
+
+void Placement::onFailed(const EndpointName &name, Instant now)
+{
+    const auto found = m_states.find(name);
+    if (found != m_states.end()) {
+        addPace(found->second, kFailureRatio, now);
+    }
 }
 
 void Placement::onFinished(const EndpointName &name, const Work &work)
@@ -201,7 +263,15 @@
 {
     const auto found = m_states.find(name);
     if (found != m_states.end()) {
-        found->second.peerLoads[peer] = load;
+        found->second.setPeerLoad(peer, load);
+    }
+}
+
+void Placement::onPeerPace(const EndpointName &name, const PaceSample &sample, Instant now)
+{
+    const auto found = m_states.find(name);
+    if (found != m_states.end()) {
+        found->second.pace.add(sample, now);
     }
 }
 
@@ -216,18 +286,19 @@
 void Placement::onPeerLost(const Incarnation &peer)
 {
     for (auto &[name, state] : m_states) {
-        state.peerLoads.erase(peer);
+        state.setPeerLoad(peer, {});
     }
 }
 
-std::vector<std::pair<EndpointName, Load>> Placement::takeLoadChanges()
+std::vector<Placement::EndpointReport> Placement::takeLoadChanges()
 {
-    std::vector<std::pair<EndpointName, Load>> changes;
+    std::vector<EndpointReport> changes;
     for (const EndpointName &name : std::exchange(m_changedLoads, {})) {
         const auto found = m_states.find(name);
         if (found != m_states.end()) {
-            found->second.hasLoadChange = false;
-            changes.emplace_back(name, found->second.localLoad);
+            State &state = found->second;
+            state.hasLoadChange = false;
+            changes.push_back({name, state.localLoad, std::exchange(state.pendingPace, {})});
         }
     }
     return changes;
--- a/basilhall/placement/placement.h
+++ b/basilhall/placement/placement.h
@@ -3,18 +3,24 @@
 // The expected time at an engine is the prefill time of the prompt tokens that are not cached
 // there, the slowdown by running requests and the wait for a slot; at a plain service it is the
 // wait for a slot. Load is counted from the requests that all gateways have sent, because this is
-// more recent than what endpoints report.
+// more recent than what endpoints report. Endpoints of the gateway's own failure domain are
+// preferred if it has many: their load is known best, and fewer connections are needed. An
+// endpoint that has been slower than others lately is expected to take longer.
 //
 //     Placement placement(domain);
 //     placement.setEndpoint(endpoint, service.engine);
 //     if (const fleet::Endpoint *chosen = placement.choose(work, {}, randomBits, now)) {
-//         placement.onSent(chosen->name, work);
+//         const SendConditions conditions = placement.onSent(chosen->name, work);
+//         ...
+//         placement.onAnswered(chosen->name, conditions, timing, now);
 //     }
 #pragma once
 
 #include "basilhall/base/identifier.h"
 #include "basilhall/fleet/endpoint.h"
 #include "basilhall/fleet/service.h"
+#include "basilhall/placement/endpoint_pace.h"
+#include "basilhall/placement/engine_model.h"
 #include "basilhall/placement/prefix_cache.h"
 #include "basilhall/placement/work.h"
 
@@ -54,15 +60,30 @@
     };
     Occupancy occupancy(const std::string &service, Instant now) const;
 
-    void onSent(const EndpointName &name, const Work &work);
+    // Returns the conditions for onAnswered().
+    SendConditions onSent(const EndpointName &name, const Work &work);
+    // A complete answer arrived. Call it besides onFinished().
+    void onAnswered(const EndpointName &name, const SendConditions &conditions,
+                    const AnswerTiming &timing, Instant now);
+    // The endpoint did not complete a request that it may have run. Call it besides onFinished().
+    void onFailed(const EndpointName &name, Instant now);
     void onFinished(const EndpointName &name, const Work &work);
 
     // Another gateway's current load at an endpoint, and a prompt that it sent there.
     void onPeerLoad(const Incarnation &peer, const EndpointName &name, Load load);
     void onPeerUse(const PromptUse &use);
+    void onPeerPace(const EndpointName &name, const PaceSample &sample, Instant now);
     void onPeerLost(const Incarnation &peer);
-    // Returns this gateway's load at every endpoint where it changed since the last call.
-    std::vector<std::pair<EndpointName, Load>> takeLoadChanges();
+    // This gateway's load at an endpoint, and how it answered since the last report.
+    struct EndpointReport {
+        EndpointName endpoint;
+        Load load;
+        PaceSample pace;
+
+        auto operator<=>(const EndpointReport &) const = default;
+    };
+    // Returns a report on every endpoint where the load changed since the last call.
+    std::vector<EndpointReport> takeLoadChanges();
     // Returns the prompts that this gateway sent since the last call.
     std::vector<PromptUse> takeUses();
 
@@ -73,19 +94,31 @@
         PrefixCache cache{0};
         Load localLoad;
         std::map<Incarnation, Load> peerLoads;
+        // Sum of `peerLoads`.
+        Load peerSum;
+        EndpointPace pace;
+        // Not sent to the peers yet.
+        PaceSample pendingPace;
         Instant suspendedUntil = Instant::min();
         bool hasLoadChange = false;
 
         Load totalLoad() const;
+        void setPeerLoad(const Incarnation &peer, Load load);
     };
 
-    double cost(const State &state, const Work &work) const;
+    double cost(const State &state, const Work &work, double remoteMs, Instant now) const;
+    // Cost, in ms, of an endpoint in another failure domain than that of this gateway.
+    double remoteCostMs(const std::vector<EndpointName> &names, Instant now) const;
+    EngineModel &modelOf(const State &state) { return m_models[state.endpoint.service]; }
+    void addPace(State &state, double ratio, Instant now);
     static bool acceptsWork(const State &state, Instant now);
     void markLoadChanged(State &state);
 
     FailureDomain m_domain;
     std::unordered_map<EndpointName, State> m_states;
     std::unordered_map<std::string, std::vector<EndpointName>> m_byService;
+    // By service.
+    std::unordered_map<std::string, EngineModel> m_models;
     std::vector<EndpointName> m_changedLoads;
     std::vector<PromptUse> m_promptUses;
 };
--- a/basilhall/placement/placement_test.cpp
+++ b/basilhall/placement/placement_test.cpp
@@ -86,4 +86,62 @@
     BOOST_TEST(choose(first, {EndpointName("near"), EndpointName("far")}).empty());
 }
 
+// Load pattern: some endpoints of a service turn slow, or fail requests, while others are idle.
+BOOST_AUTO_TEST_CASE(slowEndpointIsAvoidedUntilItRecovers)
+{
+    placement.onPeerPace(EndpointName("near"), {10, 50.0}, kNow);
+    BOOST_TEST(choose(first) == "far");
+    const fleet::Endpoint *later = placement.choose(first, {}, 0, kNow + 20s);
+    BOOST_TEST(later->name.value() == "near");
+}
+
+BOOST_AUTO_TEST_CASE(endpointThatFailsRequestsIsAvoided)
+{
+    for (int i = 0; i < 3; ++i) {
+        placement.onFailed(EndpointName("near"), kNow);
+    }
+    BOOST_TEST(choose(first) == "far");
+}
+
+// All gateways see the same slow endpoint, and report it with their load.
+BOOST_AUTO_TEST_CASE(paceIsReportedToPeersOnce)
+{
+    placement.onFailed(EndpointName("near"), kNow);
+    const auto reports = placement.takeLoadChanges();
+    BOOST_TEST_REQUIRE(reports.size() == 1U);
+    BOOST_TEST((reports[0].pace == PaceSample{1, kFailureRatio}));
+    BOOST_TEST(placement.takeLoadChanges().empty());
+}
+
+BOOST_AUTO_TEST_CASE(loadOfPeersIsTheSumOfTheirLastReports)
+{
+    const Incarnation p("p");
+    const Incarnation q("q");
+    const EndpointName near("near");
+    placement.onPeerLoad(p, near, {3, 300});
+    placement.onPeerLoad(q, near, {2, 200});
+    placement.onPeerLoad(p, near, {1, 100});
+    BOOST_TEST((placement.occupancy("engines", kNow) == Placement::Occupancy{3, 8}));
+    placement.onPeerLost(q);
+    BOOST_TEST((placement.occupancy("engines", kNow) == Placement::Occupancy{1, 8}));
+}
+
+// Load pattern: a large fleet, whose gateways know the load in other failure domains late.
+BOOST_AUTO_TEST_CASE(ownDomainIsPreferredIfItHasManyEndpoints)
+{
+    Placement large{FailureDomain("a")};
+    for (int i = 0; i < 8; ++i) {
+        large.setEndpoint(endpoint("a" + std::to_string(i), "a"), kEngine);
+        large.setEndpoint(endpoint("b" + std::to_string(i), "b"), kEngine);
+    }
+    for (int i = 0; i < 8; ++i) {
+        large.onPeerLoad(Incarnation("p"), EndpointName("a" + std::to_string(i)), {1, 100});
+    }
+    BOOST_TEST(large.choose(first, {}, 0, kNow)->failureDomain.value() == "a");
+    for (int i = 0; i < 8; ++i) {
+        large.onPeerLoad(Incarnation("p"), EndpointName("a" + std::to_string(i)), {4, 400});
+    }
+    BOOST_TEST(large.choose(first, {}, 0, kNow)->failureDomain.value() == "b");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
