Gateways share what they learn from the object API

Cause (large site): each gateway watched configuration, endpoints and gateways itself, so a change woke all of them and cost a call for each; every configuration was sent whole from each gateway to all others. Both grow with the square of the fleet or with gateways x changes.

Two gateways of each failure domain now watch; updates state the versions of three documents, and a gateway fetches a newer one from a peer, first in its failure domain (DocumentExchange). It watches itself if fewer than two peers of its domain do, and then calls an unavailable object API at most every 2 s.

--- a/basilhall/fleet/endpoint_directory.cpp
+++ b/basilhall/fleet/endpoint_directory.cpp
@@ -72,6 +72,17 @@
     return m_gracePeriodEnd;
 }
 
+std::vector<Endpoint> EndpointDirectory::registered() const
+{
+    std::vector<Endpoint> endpoints;
+    for (const auto &[name, endpoint] : m_endpoints) {
+        if (std::find(m_lapsedNames.begin(), m_lapsedNames.end(), name) == m_lapsedNames.end()) {
+            endpoints.push_back(endpoint);
+        }
+    }
+    return endpoints;
+}
+
 const Endpoint *EndpointDirectory::find(const EndpointName &name) const
 {
     const auto found = m_endpoints.find(name);
--- a/basilhall/fleet/endpoint_directory.h
+++ b/basilhall/fleet/endpoint_directory.h
@@ -39,6 +39,8 @@
     std::vector<EndpointName> expire(Instant now);
     // End of the grace period, when expire() has to be called; nothing if there is none.
     std::optional<Instant> nextExpiry() const;
+    // Returns the endpoints without those whose registration lapsed and may return.
+    std::vector<Endpoint> registered() const;
 
     const Endpoint *find(const EndpointName &name) const;
     const std::unordered_map<EndpointName, Endpoint> &endpoints() const { return m_endpoints; }
--- /dev/null
+++ b/basilhall/gateway/document_exchange.cpp
@@ -0,0 +1,122 @@
+#include "basilhall/gateway/document_exchange.h"
+
+#include <utility>
+
+namespace basilhall::gateway
+{
+
+namespace
+{
+
+constexpr DocumentKind kKinds[] = {DocumentKind::Policy, DocumentKind::Endpoints,
+                                   DocumentKind::Members};
+// Time for which a gateway waits for a peer of its failure domain before it fetches a newer
+// version from another one. A change has to be known within 2 s.
+constexpr Duration kRemoteDelay = std::chrono::milliseconds(400);
+// A watch delivers changes within 300 ms; after this time it has missed one.
+constexpr Duration kWatchDelay = std::chrono::milliseconds(1000);
+constexpr Duration kFailedPeerPause = std::chrono::seconds(1);
+
+} // namespace
+
+DocumentExchange::DocumentExchange(FailureDomain domain)
+    : m_domain(std::move(domain))
+{
+}
+
+std::uint64_t DocumentExchange::localVersion(DocumentKind kind) const
+{
+    const auto found = m_local.find(kind);
+    return found == m_local.end() ? 0 : found->second;
+}
+
+void DocumentExchange::setLocal(DocumentKind kind, std::uint64_t version)
+{
+    if (version <= localVersion(kind)) {
+        return;
+    }
+    m_local[kind] = version;
+    for (auto &[host, peer] : m_peers) {
+        const auto known = peer.versions.find(kind);
+        if (known != peer.versions.end() && known->second <= version) {
+            peer.newerSince.erase(kind);
+        }
+    }
+}
+
+void DocumentExchange::onPeerVersions(const HostName &peer, const FailureDomain &domain,
+                                      const DocumentVersions &versions, Instant now)
+{
+    Peer &entry = m_peers[peer];
+    entry.domain = domain;
+    entry.versions = versions;
+    for (const auto &[kind, version] : versions) {
+        if (version > localVersion(kind)) {
+            entry.newerSince.try_emplace(kind, now);
+        } else {
+            entry.newerSince.erase(kind);
+        }
+    }
+}
+
+void DocumentExchange::onPeerLost(const HostName &peer)
+{
+    m_peers.erase(peer);
+}
+
+Duration DocumentExchange::delay(DocumentKind kind, const Peer &peer, bool isWatching) const
+{
+    if (localVersion(kind) == 0) {
+        return Duration::zero();
+    }
+    if (isWatching && kind != DocumentKind::Policy) {
+        return kWatchDelay;
+    }
+    return peer.domain == m_domain ? Duration::zero() : kRemoteDelay;
+}
+
+std::optional<HostName> DocumentExchange::choosePeer(DocumentKind kind, bool isWatching,
+                                                     std::uint64_t random, Instant now) const
+{
+    std::vector<HostName> local;
+    std::vector<HostName> remote;
+    for (const auto &[host, peer] : m_peers) {
+        const auto since = peer.newerSince.find(kind);
+        if (since != peer.newerSince.end() && now >= peer.avoidedUntil
+            && now - since->second >= delay(kind, peer, isWatching)) {
+            (peer.domain == m_domain ? local : remote).push_back(host);
+        }
+    }
+    const std::vector<HostName> &candidates = local.empty() ? remote : local;
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    return candidates[random % candidates.size()];
+}
+
+std::vector<DocumentExchange::Fetch> DocumentExchange::dueFetches(bool isWatching,
+                                                                  std::uint64_t random, Instant now)
+{
+    std::vector<Fetch> fetches;
+    for (const DocumentKind kind : kKinds) {
+        if (m_fetching.contains(kind)) {
+            continue;
+        }
+        if (auto peer = choosePeer(kind, isWatching, random, now)) {
+            m_fetching.insert(kind);
+            fetches.push_back({kind, std::move(*peer)});
+        }
+    }
+    return fetches;
+}
+
+void DocumentExchange::onFetched(const Fetch &fetch, bool isSuccessful, Instant now)
+{
+    m_fetching.erase(fetch.kind);
+    const auto found = m_peers.find(fetch.peer);
+    if (found != m_peers.end() && !isSuccessful) {
+        found->second.avoidedUntil = now + kFailedPeerPause;
+    }
+}
+
+} // namespace basilhall::gateway
--- a/basilhall/gateway/fleet_events.h
+++ b/basilhall/gateway/fleet_events.h
@@ -6,8 +6,8 @@
 
 #include "basilhall/base/identifier.h"
 #include "basilhall/fleet/endpoint.h"
+#include "basilhall/gateway/document.h"
 #include "basilhall/gateway/member.h"
-#include "basilhall/gateway/peer_mesh.h"
 
 #include <functional>
 #include <vector>
@@ -17,7 +17,8 @@
 
 // Called on the executor of the gateway.
 struct FleetEvents {
-    std::function<void(const PolicyDocument &)> policy;
+    // The configuration, in the encoding of the platform.
+    std::function<void(const Document &)> policy;
     // A complete list; `afterOutage` if the object API was unreachable before it.
     std::function<void(const std::vector<fleet::Endpoint> &, bool afterOutage)> endpointsListed;
     std::function<void(const fleet::Endpoint &)> endpointChanged;
@@ -25,6 +26,11 @@
     std::function<void(const std::vector<Member> &)> membersListed;
     std::function<void(const Member &)> memberChanged;
     std::function<void(const HostName &)> memberRemoved;
+    // The calls above have applied all changes of the kind up to the revision of the object API;
+    // 0 if the revision is unknown.
+    std::function<void(DocumentKind, std::uint64_t revision)> upToDate;
+    // A watch of the kind has begun to deliver changes, or failed.
+    std::function<void(DocumentKind, bool isAvailable)> watchChanged;
 };
 
 } // namespace basilhall::gateway
--- a/basilhall/gateway/fleet_state.cpp
+++ b/basilhall/gateway/fleet_state.cpp
@@ -100,6 +100,12 @@
     return dropped.size();
 }
 
+EndpointListing FleetState::endpointListing(Instant now) const
+{
+    const std::optional<Instant> graceEnd = m_directory.nextExpiry();
+    return {m_directory.registered(), graceEnd && now < *graceEnd};
+}
+
 bool FleetState::hasEndpoint(const EndpointName &name) const
 {
     return m_directory.find(name) != nullptr;
--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -25,6 +25,15 @@
 // the remainder covers the delivery of the change.
 inline constexpr Duration kRegistrationGrace = std::chrono::milliseconds(2200);
 
+// The endpoints that the object API lists. Immutable value.
+struct EndpointListing {
+    std::vector<fleet::Endpoint> endpoints;
+    // The object API was unavailable before: registrations of running endpoints may be missing.
+    bool isAfterOutage = false;
+
+    auto operator<=>(const EndpointListing &) const = default;
+};
+
 // Not thread-safe.
 class FleetState
 {
@@ -46,6 +55,8 @@
     void removeEndpoint(const EndpointName &name, Instant now);
     // Drops registrations that were not renewed within the grace period. Returns their number.
     std::size_t expireEndpoints(Instant now);
+    // The registered endpoints, to pass to a peer.
+    EndpointListing endpointListing(Instant now) const;
     std::size_t endpointCount() const { return m_directory.endpoints().size(); }
     bool hasEndpoint(const EndpointName &name) const;
 
--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "basilhall/gateway/journal_reader.h"
 #include "basilhall/gateway/membership.h"
 #include "basilhall/gateway/peer_mesh.h"
+#include "basilhall/gateway/registration_codec.h"
 #include "basilhall/logging/log_system.h"
 #include "basilhall/metrics/registry.h"
 
@@ -12,6 +13,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <set>
+#include <utility>
 
 namespace basilhall::gateway
 {
@@ -49,6 +52,12 @@
 // Requests still running this long before the kill are aborted, so that the process can shut down
 // cleanly.
 constexpr Duration kKillMargin = std::chrono::milliseconds(700);
+// Time after its start for which a gateway waits for peers that watch the object API.
+constexpr Duration kWatcherDiscoveryTime = std::chrono::milliseconds(700);
+// Well below the 2 s within which a change has to be in force.
+constexpr Duration kMaxWatchRetryDelay = std::chrono::milliseconds(400);
+// While the object API is unavailable, most gateways of a large fleet call it less often.
+constexpr Duration kMaxFallbackRetryDelay = std::chrono::seconds(2);
 constexpr Duration kDrainCheck = std::chrono::milliseconds(50);
 
 Member memberOf(const settings::GatewaySettings &settings, const Incarnation &incarnation)
@@ -84,7 +93,7 @@
         , callLog(logs.log("call"), registry)
         , mesh(
               e, memberOf(settings, incarnation), state, keeper, logs.log("peers"),
-              [this](const PolicyDocument &document) { takePolicy(document, "peer"); },
+              [this](const Document &document) { takeDocument(document); },
               [this](const Member &member) { membership.onSubscribed(member); })
         , membership(e, memberOf(settings, incarnation), std::move(access), mesh, logs.log("peers"))
         , readyServer(e, settings.readyListen, {},
@@ -116,12 +125,12 @@
         (void)co_await exchange->respond(std::move(response));
     }
 
-    void takePolicy(const PolicyDocument &document, logging::Literal source)
+    void takePolicy(const Document &document, logging::Literal source)
     {
         if (state.policy() && document.version <= state.policy()->version()) {
             return;
         }
-        const Result<fleet::PolicyPtr> policy = decode(document.document);
+        const Result<fleet::PolicyPtr> policy = decode(document.content);
         if (!policy) {
             log.error("Refused a configuration; the previous one stays in force.",
                       Field("version", document.version), Field("reason", policy.error()));
@@ -135,6 +144,89 @@
         }
     }
 
+    // Applies a document that was fetched from a peer.
+    void takeDocument(const Document &document)
+    {
+        switch (document.kind) {
+        case DocumentKind::Policy:
+            takePolicy(document, "peer");
+            break;
+        case DocumentKind::Endpoints:
+            takeEndpoints(document);
+            break;
+        case DocumentKind::Members:
+            takeMembers(document);
+            break;
+        default:
+            log.warning("Ignored a document of an unknown kind.",
+                        Field("kind", static_cast<std::uint32_t>(document.kind)));
+        }
+    }
+
+    void takeEndpoints(const Document &document)
+    {
+        const Result<EndpointListing> listing = decodeEndpoints(document.content);
+        if (!listing) {
+            log.error("Refused a list of endpoints from a peer.",
+                      Field("version", document.version), Field("reason", listing.error()));
+            return;
+        }
+        state.replaceEndpoints(listing.value().endpoints, listing.value().isAfterOutage, now());
+        if (!std::exchange(hasEndpointList, true)) {
+            log.info("Fetched the endpoints from a peer.",
+                     Field("listed", listing.value().endpoints.size()),
+                     Field("version", document.version));
+        }
+        mesh.publish(document);
+    }
+
+    void takeMembers(const Document &document)
+    {
+        const auto listed = decodeMembers(document.content);
+        if (!listed) {
+            log.error("Refused a list of gateways from a peer.", Field("version", document.version),
+                      Field("reason", listed.error()));
+            return;
+        }
+        membership.setAll(listed.value());
+        mesh.publish(document);
+    }
+
+    // Offers the registrations to the peers, as of a revision of the object API.
+    void publishRegistrations(DocumentKind kind, std::uint64_t revision)
+    {
+        if (kind == DocumentKind::Endpoints) {
+            mesh.publish({kind, revision, encodeEndpoints(state.endpointListing(now()))});
+        } else if (kind == DocumentKind::Members) {
+            mesh.publish({kind, revision, encodeMembers(membership.all())});
+        }
+    }
+
+    bool shouldWatchStore() const
+    {
+        const bool awaitsWatchers = now() - startedAt < kWatcherDiscoveryTime
+            && (!hasMemberList || mesh.isBehindWatchers());
+        return !awaitsWatchers && mesh.shouldWatchStore();
+    }
+
+    void onWatchChanged(DocumentKind kind, bool isAvailable)
+    {
+        if (isAvailable) {
+            availableWatches.insert(kind);
+        } else {
+            availableWatches.erase(kind);
+        }
+        const bool isWatching = availableWatches.contains(DocumentKind::Policy)
+            && availableWatches.contains(DocumentKind::Endpoints)
+            && availableWatches.contains(DocumentKind::Members);
+        if (isWatching != std::exchange(isWatchingStore, isWatching)) {
+            mesh.setWatchingStore(isWatching);
+            log.info(isWatching ? logging::Literal("Watches the object API.")
+                                : logging::Literal("No longer watches the object API."),
+                     Field("members", mesh.memberCount() + 1));
+        }
+    }
+
     // Loads the ledgers from a peer, or else from the object API, and retries until that succeeds;
     // then loads all turns in the background.
     static asio::awaitable<void> load(std::shared_ptr<Private> self)
@@ -273,6 +365,10 @@
     Membership membership;
     http::Server readyServer;
     std::unique_ptr<http::Server> callers;
+    const Instant startedAt = now();
+    // The kinds whose watches deliver changes.
+    std::set<DocumentKind> availableWatches;
+    bool isWatchingStore = false;
     bool hasEndpointList = false;
     bool hasMemberList = false;
     bool isDraining = false;
@@ -312,7 +408,13 @@
 FleetEvents Gateway::events()
 {
     FleetEvents events;
-    events.policy = [d = d](const PolicyDocument &document) { d->takePolicy(document, "store"); };
+    events.policy = [d = d](const Document &document) { d->takePolicy(document, "store"); };
+    events.upToDate = [d = d](DocumentKind kind, std::uint64_t revision) {
+        d->publishRegistrations(kind, revision);
+    };
+    events.watchChanged = [d = d](DocumentKind kind, bool isAvailable) {
+        d->onWatchChanged(kind, isAvailable);
+    };
     events.endpointsListed = [d = d](const std::vector<fleet::Endpoint> &listed, bool afterOutage) {
         d->state.replaceEndpoints(listed, afterOutage, Private::now());
         d->hasEndpointList = true;
@@ -339,6 +441,16 @@
     return events;
 }
 
+bool Gateway::shouldWatchStore() const
+{
+    return d->shouldWatchStore();
+}
+
+Duration Gateway::maxWatchRetryDelay() const
+{
+    return d->mesh.isBehindWatchers() ? kMaxFallbackRetryDelay : kMaxWatchRetryDelay;
+}
+
 void Gateway::start(http::Server::Handler serve)
 {
     d->callers = std::make_unique<http::Server>(
--- a/basilhall/gateway/gateway.h
+++ b/basilhall/gateway/gateway.h
@@ -28,6 +28,8 @@
 namespace basilhall::gateway
 {
 
+class PeerMesh;
+
 // Not thread-safe: use from its executor.
 class Gateway
 {
@@ -50,6 +52,12 @@
     PeerMesh &mesh();
     // Returns the handlers to call when objects of the object API change.
     FleetEvents events();
+    // True if this gateway should watch the object API itself. The others fetch what changes from
+    // their peers.
+    bool shouldWatchStore() const;
+    // Maximum pause between attempts to reach the object API: longer for gateways that do not
+    // watch it while enough of their peers do.
+    Duration maxWatchRetryDelay() const;
 
     // Starts serving callers, registers with the peers, and loads the kept turns and spending.
     void start(http::Server::Handler serve);
--- a/basilhall/gateway/membership.cpp
+++ b/basilhall/gateway/membership.cpp
@@ -1,8 +1,11 @@
 #include "basilhall/gateway/membership.h"
 
+#include "basilhall/base/monotonic_clock.h"
+
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <set>
+#include <utility>
 
 namespace basilhall::gateway
 {
@@ -16,6 +19,8 @@
 constexpr Duration kRetryPause = std::chrono::milliseconds(300);
 // Several times the restart time of a host. Until then, the limit share of a silent peer is unused.
 constexpr Duration kSilenceLimit = std::chrono::seconds(8);
+// Time until a registration is in the lists that peers pass on: a few watch and update intervals.
+constexpr Duration kRegistrationDelay = std::chrono::seconds(3);
 
 } // namespace
 
@@ -102,7 +107,11 @@
     logging::Log log;
     asio::steady_timer timer;
     std::map<HostName, Member> members;
+    // When each gateway that is known only by its subscription subscribed.
+    std::map<HostName, Instant> subscribedAt;
     std::set<HostName> pendingRemovals;
+    // The registration of this process has been in a list.
+    bool wasListed = false;
     bool hasLeft = false;
 };
 
@@ -133,11 +142,28 @@
 
 void Membership::setAll(const std::vector<Member> &members)
 {
-    d->members.clear();
+    const Instant now = MonotonicClock().now();
+    std::erase_if(d->subscribedAt,
+                  [now](const auto &entry) { return now - entry.second > kRegistrationDelay; });
+    std::map<HostName, Member> listed;
+    for (const auto &[host, at] : d->subscribedAt) {
+        const auto known = d->members.find(host);
+        if (known != d->members.end()) {
+            listed.emplace(host, known->second);
+        }
+    }
     for (const Member &member : members) {
-        d->members.emplace(member.host, member);
+        listed.emplace(member.host, member);
     }
+    d->members = std::move(listed);
     d->updateMesh();
+    const auto own = d->members.find(d->self.host);
+    if (own != d->members.end()) {
+        d->wasListed = d->wasListed || own->second == d->self;
+    } else if (std::exchange(d->wasListed, false) && !d->hasLeft) {
+        // A peer removed the registration because it considered this host lost.
+        d->create();
+    }
 }
 
 void Membership::set(const Member &member)
@@ -150,10 +176,20 @@
 {
     const auto known = d->members.find(member.host);
     if (known == d->members.end() || known->second != member) {
+        d->subscribedAt[member.host] = MonotonicClock().now();
         set(member);
     }
 }
 
+std::vector<Member> Membership::all() const
+{
+    std::vector<Member> members;
+    for (const auto &[host, member] : d->members) {
+        members.push_back(member);
+    }
+    return members;
+}
+
 void Membership::remove(const HostName &host)
 {
     d->members.erase(host);
--- a/basilhall/gateway/membership.h
+++ b/basilhall/gateway/membership.h
@@ -34,12 +34,14 @@
     // Removes the registration of this gateway; calls `done` once, also on failure.
     void leave(std::function<void()> done);
 
-    // Apply registrations from the object API.
+    // Apply registrations from the object API. A list may be older than a recent subscription of a
+    // gateway, which then stays a member.
     void setAll(const std::vector<Member> &members);
     void set(const Member &member);
     // Applies the registration that a peer sent with its subscription.
     void onSubscribed(const Member &member);
     void remove(const HostName &host);
+    std::vector<Member> all() const;
 
     // Removes the registrations of gateways that have sent no updates for kSilenceLimit.
     void removeSilentMembers();
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -1,6 +1,7 @@
 #include "basilhall/gateway/peer_mesh.h"
 
 #include "basilhall/base/monotonic_clock.h"
+#include "basilhall/gateway/document_exchange.h"
 #include "basilhall/gateway/gateway.pb.h"
 #include "basilhall/gateway/internal/peer_requests.h"
 #include "basilhall/gateway/internal/update_codec.h"
@@ -19,6 +20,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <deque>
 #include <map>
+#include <random>
 #include <unordered_set>
 
 namespace basilhall::gateway
@@ -33,6 +35,10 @@
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 const std::string kUpdatesMethod = "/updates";
 const std::string kWantMethod = "/want";
+const std::string kDocumentMethod = "/document";
+// Number of gateways of each failure domain that watch the object API; a second one takes over
+// without a delay if the first is lost.
+constexpr std::ptrdiff_t kWatchersPerDomain = 2;
 // Update interval of a fleet of up to kSmallFleetSize gateways. Placement and limits depend on
 // updates that are at most this old.
 constexpr Duration kMinUpdateInterval = std::chrono::milliseconds(100);
@@ -100,6 +106,7 @@
     std::deque<std::shared_ptr<const std::string>> queue;
     transport::Signal wake;
     Incarnation incarnation;
+    FailureDomain failureDomain;
     bool wantsTurns = false;
     bool isCancelled = false;
 };
@@ -118,6 +125,8 @@
     std::uint64_t durableBatch = 0;
     // The peer knows the spending before its start.
     bool knowsLedger = false;
+    // The peer receives all changes from the object API.
+    bool watchesStore = false;
     // Time of its last failure to make records of this gateway durable.
     std::optional<Instant> refusedRecordsAt;
     // Its last batches, each with the time of the update that stated it.
@@ -131,18 +140,20 @@
 {
 public:
     Private(const asio::any_io_executor &e, Member s, FleetState &st, TurnKeeper &k, logging::Log l,
-            PolicyHandler policyHandler, MemberHandler memberHandler)
+            DocumentHandler documentHandler, MemberHandler memberHandler)
         : executor(e)
         , self(std::move(s))
         , state(st)
         , keeper(k)
         , log(std::move(l))
-        , onPolicy(std::move(policyHandler))
+        , onDocument(std::move(documentHandler))
         , onMember(std::move(memberHandler))
         , requests(
               st, k, log, [this] { return receivesAllTurns(); }, [this] { flush(); },
               [this] { return journalMarks(); })
         , client(e, kKeepAlive)
+        , exchange(self.failureDomain)
+        , random(std::hash<std::string>()(self.incarnation.value()))
     {
     }
 
@@ -169,6 +180,8 @@
             co_await serveUpdates(self, stream);
         } else if (stream->method() == kWantMethod) {
             co_await self->serveWant(stream);
+        } else if (stream->method() == kDocumentMethod) {
+            co_await self->serveDocument(stream);
         } else {
             co_await self->requests.serve(stream);
         }
@@ -190,6 +203,7 @@
         }
         const auto subscriber = std::make_shared<Subscriber>(self->executor);
         subscriber->incarnation = Incarnation(request.member().incarnation());
+        subscriber->failureDomain = FailureDomain(request.member().failure_domain());
         subscriber->wantsTurns = request.wants_turns();
         stream->onCancelled([weak = std::weak_ptr<Subscriber>(subscriber)] {
             if (const auto alive = weak.lock()) {
@@ -234,6 +248,79 @@
         }
     }
 
+    asio::awaitable<void> serveDocument(std::shared_ptr<transport::ServerStream> stream)
+    {
+        wire::DocumentRequest request;
+        if (!request.ParseFromString(stream->request())) {
+            log.warning("Dropped a malformed request of a peer.");
+            co_return;
+        }
+        wire::DocumentReply reply;
+        reply.set_kind(request.kind());
+        reply.set_incarnation(self.incarnation.value());
+        const auto found = documents.find(static_cast<DocumentKind>(request.kind()));
+        if (found != documents.end()) {
+            reply.set_version(found->second.version);
+            reply.set_content(found->second.content);
+        }
+        const Result<void> sent = co_await stream->send(reply.SerializeAsString());
+        if (sent) {
+            (void)co_await stream->finish();
+        }
+    }
+
+    // Begins to fetch the documents that are due.
+    void fetchDocuments()
+    {
+        for (DocumentExchange::Fetch &fetch :
+             exchange.dueFetches(isWatchingStore, random(), now())) {
+            asio::co_spawn(executor, fetchDocument(shared_from_this(), std::move(fetch)),
+                           asio::detached);
+        }
+    }
+
+    static asio::awaitable<void> fetchDocument(std::shared_ptr<Private> self,
+                                               DocumentExchange::Fetch fetch)
+    {
+        std::optional<std::string> message;
+        const auto peer = self->peers.find(fetch.peer);
+        if (peer != self->peers.end()) {
+            wire::DocumentRequest request;
+            request.set_kind(static_cast<std::uint32_t>(fetch.kind));
+            message = co_await self->sendRequest(peer->second->member.address, kDocumentMethod,
+                                                 request.SerializeAsString(), kRequestTimeout);
+        }
+        wire::DocumentReply reply;
+        const bool isFetched = message && reply.ParseFromString(*message) && reply.version() > 0;
+        if (isFetched) {
+            self->onDocument({fetch.kind, reply.version(), reply.content()});
+        }
+        const auto known = self->exchange.local().find(fetch.kind);
+        const bool isAccepted =
+            isFetched && known != self->exchange.local().end() && known->second >= reply.version();
+        self->exchange.onFetched(fetch, isAccepted, now());
+        if (!isAccepted) {
+            self->log.info("Could not fetch a document from a peer.", Field("peer", fetch.peer),
+                           Field("kind", static_cast<std::uint32_t>(fetch.kind)),
+                           Field("answered", isFetched), Field("version", reply.version()));
+        }
+    }
+
+    // Number of reachable members of the failure domain that precede this one in rank and receive
+    // all changes from the object API.
+    std::ptrdiff_t watchersBefore() const
+    {
+        return std::count_if(peers.begin(), peers.end(), [this](const auto &entry) {
+            const Peer &peer = *entry.second;
+            return precedesInDomain(peer.member) && peer.watchesStore && isReachable(peer);
+        });
+    }
+
+    bool precedesInDomain(const Member &member) const
+    {
+        return member.failureDomain == self.failureDomain && outranks(member, self);
+    }
+
     // Sends a "/want" request that states whether this gateway wants turns.
     static asio::awaitable<void> sendWant(std::shared_ptr<Private> self, std::shared_ptr<Peer> peer)
     {
@@ -407,6 +494,12 @@
         update.set_knows_ledger(keeper.isLoaded()
                                 && (!keeper.reader().mayMissSpending()
                                     || keeper.storeFailingFor() == Duration::zero()));
+        update.set_watches_store(isWatchingStore);
+        for (const auto &[kind, version] : exchange.local()) {
+            wire::DocumentVersion &entry = *update.add_documents();
+            entry.set_kind(static_cast<std::uint32_t>(kind));
+            entry.set_version(version);
+        }
         return update;
     }
 
@@ -416,10 +509,6 @@
         for (const turns::SpendReport &report : state.budgets().localReports()) {
             addSpend(update, self.incarnation, report);
         }
-        if (policy.version > 0) {
-            update.mutable_policy()->set_version(policy.version);
-            update.mutable_policy()->set_document(policy.document);
-        }
         return std::make_shared<const std::string>(update.SerializeAsString());
     }
 
@@ -430,13 +519,18 @@
             if (update.turns_size() > 0 && !subscriber->wantsTurns) {
                 continue;
             }
-            if (subscriber->queue.size() >= kMaxQueued) {
-                subscriber->isCancelled = true;
-            } else {
-                subscriber->queue.push_back(message);
-            }
-            subscriber->wake.notify();
+            send(*subscriber, message);
+        }
+    }
+
+    static void send(Subscriber &subscriber, const std::shared_ptr<const std::string> &message)
+    {
+        if (subscriber.queue.size() >= kMaxQueued) {
+            subscriber.isCancelled = true;
+        } else {
+            subscriber.queue.push_back(message);
         }
+        subscriber.wake.notify();
     }
 
     void flush()
@@ -446,6 +540,7 @@
         broadcast(update);
         updateLimitShare();
         updateHolder();
+        fetchDocuments();
     }
 
     bool isConnectedToAll() const
@@ -501,6 +596,8 @@
             if (peer->isConnected) {
                 peer->isConnected = false;
                 peer->knowsLedger = false;
+                peer->watchesStore = false;
+                self->exchange.onPeerLost(peer->member.host);
                 self->log.warning("Lost a peer.", Field("peer", peer->member.host),
                                   Field("incarnation", peer->member.incarnation));
                 self->state.placement().onPeerLost(peer->member.incarnation);
@@ -624,8 +721,17 @@
             self->noteBatch(*peer, update.durable_batch());
             applyUpdate(update, now(), self->state);
             if (update.has_policy()) {
-                self->onPolicy({update.policy().version(), update.policy().document()});
+                self->onDocument(
+                    {DocumentKind::Policy, update.policy().version(), update.policy().document()});
+            }
+            peer->watchesStore = update.watches_store();
+            DocumentVersions versions;
+            for (const wire::DocumentVersion &entry : update.documents()) {
+                versions[static_cast<DocumentKind>(entry.kind())] = entry.version();
             }
+            self->exchange.onPeerVersions(peer->member.host, peer->member.failureDomain, versions,
+                                          now());
+            self->fetchDocuments();
         }
     }
 
@@ -672,23 +778,26 @@
     FleetState &state;
     TurnKeeper &keeper;
     logging::Log log;
-    PolicyHandler onPolicy;
+    DocumentHandler onDocument;
     MemberHandler onMember;
     PeerRequests requests;
     transport::StreamClient client;
     std::unique_ptr<transport::StreamServer> server;
     std::map<HostName, std::shared_ptr<Peer>> peers;
     std::unordered_set<std::shared_ptr<Subscriber>> subscribers;
-    PolicyDocument policy;
+    std::map<DocumentKind, Document> documents;
+    DocumentExchange exchange;
+    std::mt19937_64 random;
+    bool isWatchingStore = false;
     bool isHolder = false;
     bool isClosed = false;
 };
 
 PeerMesh::PeerMesh(const asio::any_io_executor &executor, Member self, FleetState &state,
-                   TurnKeeper &keeper, logging::Log log, PolicyHandler onPolicy,
+                   TurnKeeper &keeper, logging::Log log, DocumentHandler onDocument,
                    MemberHandler onMember)
     : d(std::make_shared<Private>(executor, std::move(self), state, keeper, std::move(log),
-                                  std::move(onPolicy), std::move(onMember)))
+                                  std::move(onDocument), std::move(onMember)))
 {
     d->listen();
 }
@@ -751,13 +860,6 @@
     return d->peers.size();
 }
 
-std::size_t PeerMesh::rank() const
-{
-    return static_cast<std::size_t>(
-        std::count_if(d->peers.begin(), d->peers.end(),
-                      [this](const auto &entry) { return entry.first < d->self.host; }));
-}
-
 bool PeerMesh::isHolder() const
 {
     return d->isHolder;
@@ -811,13 +913,51 @@
     d->broadcast(update);
 }
 
-void PeerMesh::publish(PolicyDocument document)
+void PeerMesh::publish(Document document)
 {
-    d->policy = std::move(document);
-    wire::Update update = d->newUpdate();
-    update.mutable_policy()->set_version(d->policy.version);
-    update.mutable_policy()->set_document(d->policy.document);
-    d->broadcast(update);
+    Document &offered = d->documents[document.kind];
+    if (document.version <= offered.version) {
+        return;
+    }
+    offered = std::move(document);
+    d->exchange.setLocal(offered.kind, offered.version);
+    // Other failure domains learn the version with the next regular update.
+    const auto message = std::make_shared<const std::string>(d->newUpdate().SerializeAsString());
+    for (const auto &subscriber : d->subscribers) {
+        if (subscriber->failureDomain == d->self.failureDomain) {
+            d->send(*subscriber, message);
+        }
+    }
+}
+
+bool PeerMesh::shouldWatchStore() const
+{
+    return d->watchersBefore() < kWatchersPerDomain;
+}
+
+bool PeerMesh::isBehindWatchers() const
+{
+    return std::count_if(
+               d->peers.begin(), d->peers.end(),
+               [this](const auto &entry) { return d->precedesInDomain(entry.second->member); })
+        >= kWatchersPerDomain;
+}
+
+void PeerMesh::setWatchingStore(bool isWatching)
+{
+    d->isWatchingStore = isWatching;
+}
+
+FleetPosition PeerMesh::watcherPosition() const
+{
+    FleetPosition position;
+    for (const auto &[host, peer] : d->peers) {
+        if (peer->watchesStore && d->isReachable(*peer)) {
+            ++position.members;
+            position.rank += host < d->self.host ? 1 : 0;
+        }
+    }
+    return position;
 }
 
 void PeerMesh::flush()
--- a/basilhall/gateway/peer_mesh.h
+++ b/basilhall/gateway/peer_mesh.h
@@ -1,13 +1,15 @@
 // Connects a gateway to all others: each sends its changes of state to every subscriber.
 //
-//     PeerMesh mesh(executor, self, state, keeper, log, onPolicy, onMember);
+//     PeerMesh mesh(executor, self, state, keeper, log, onDocument, onMember);
 //     mesh.setMembers(members);
 //     mesh.announce(turn);
 //     mesh.publish(document);
 #pragma once
 
+#include "basilhall/gateway/document.h"
 #include "basilhall/gateway/fleet_state.h"
 #include "basilhall/gateway/member.h"
+#include "basilhall/gateway/poll_slot.h"
 #include "basilhall/gateway/turn_keeper.h"
 #include "basilhall/logging/log.h"
 
@@ -23,27 +25,20 @@
 namespace basilhall::gateway
 {
 
-// A version of the configuration in the encoding of the platform.
-struct PolicyDocument {
-    std::uint64_t version = 0;
-    std::string document;
-
-    auto operator<=>(const PolicyDocument &) const = default;
-};
-
 // Not thread-safe: use from its executor. The references must outlive it.
 class PeerMesh
 {
 public:
-    // Receives the configuration version that a peer has in force.
-    using PolicyHandler = std::function<void(const PolicyDocument &)>;
+    // Receives a document that was fetched from a peer.
+    using DocumentHandler = std::function<void(const Document &)>;
 
     // Receives the registration of a gateway that has just subscribed.
     using MemberHandler = std::function<void(const Member &)>;
 
     // Listens on the address of `self`; port 0 selects a free port.
     PeerMesh(const boost::asio::any_io_executor &executor, Member self, FleetState &state,
-             TurnKeeper &keeper, logging::Log log, PolicyHandler onPolicy, MemberHandler onMember);
+             TurnKeeper &keeper, logging::Log log, DocumentHandler onDocument,
+             MemberHandler onMember);
     ~PeerMesh();
     PeerMesh(const PeerMesh &) = delete;
     PeerMesh &operator=(const PeerMesh &) = delete;
@@ -56,8 +51,6 @@
     std::vector<HostName> silentMembers(Duration silence) const;
     // Number of members other than this one.
     std::size_t memberCount() const;
-    // Number of members whose host name is sorted before that of this gateway.
-    std::size_t rank() const;
     // True if this gateway has the highest CPU limit of its failure domain; the host name decides
     // between equal ones. Such a gateway is a holder: it stores the turns of all gateways and
     // answers for those that do not.
@@ -72,8 +65,20 @@
 
     // Sends a turn to all holders immediately.
     void announce(const journal::TurnKept &turn);
-    // Sends the version in force to all subscribers immediately, and to each that subscribes later.
-    void publish(PolicyDocument document);
+    // Offers a document to the peers, which fetch it if it is newer than theirs. Ignored if this
+    // gateway already offers a version that is not older.
+    void publish(Document document);
+    // True if this gateway should watch the object API: fewer than kWatchersPerDomain reachable
+    // members of its failure domain that precede it in rank do so.
+    bool shouldWatchStore() const;
+    // True if a gateway that precedes this one in rank is registered for each watcher of the
+    // failure domain, whether it is reachable or not.
+    bool isBehindWatchers() const;
+    // States whether this gateway receives all changes from the object API.
+    void setWatchingStore(bool isWatching);
+    // Number of gateways that watch the object API, including this one, and how many of them are
+    // sorted before it.
+    FleetPosition watcherPosition() const;
     // Sends the pending changes of the state. The owner calls it every updateInterval().
     void flush();
     // Time between two updates to a subscriber, sent even without changes. Grows with the number of
--- /dev/null
+++ b/basilhall/gateway/registration_codec.cpp
@@ -0,0 +1,69 @@
+#include "basilhall/gateway/registration_codec.h"
+
+#include "basilhall/gateway/gateway.pb.h"
+
+namespace basilhall::gateway
+{
+
+std::string encodeEndpoints(const EndpointListing &listing)
+{
+    wire::EndpointList list;
+    list.set_after_outage(listing.isAfterOutage);
+    for (const fleet::Endpoint &endpoint : listing.endpoints) {
+        wire::Endpoint &entry = *list.add_endpoints();
+        entry.set_name(endpoint.name.value());
+        entry.set_service(endpoint.service);
+        entry.set_address(toString(endpoint.address));
+        entry.set_failure_domain(endpoint.failureDomain.value());
+        entry.set_slots(endpoint.slots);
+        entry.set_leaving(endpoint.isLeaving);
+        entry.set_started_wall_ms(endpoint.startedAt);
+    }
+    return list.SerializeAsString();
+}
+
+Result<EndpointListing> decodeEndpoints(const std::string &content)
+{
+    wire::EndpointList list;
+    if (!list.ParseFromString(content)) {
+        return Error(ErrorKind::Corrupt, "a list of endpoints cannot be decoded");
+    }
+    EndpointListing listing;
+    listing.isAfterOutage = list.after_outage();
+    for (const wire::Endpoint &entry : list.endpoints()) {
+        const Result<Address> address = parseAddress(entry.address());
+        if (!address) {
+            return Error(ErrorKind::Corrupt,
+                         "endpoint \"" + entry.name() + "\" in a list has no valid address");
+        }
+        listing.endpoints.push_back({EndpointName(entry.name()), entry.service(), address.value(),
+                                     FailureDomain(entry.failure_domain()), entry.slots(),
+                                     entry.leaving(), entry.started_wall_ms()});
+    }
+    return listing;
+}
+
+std::string encodeMembers(const std::vector<Member> &members)
+{
+    wire::MemberList list;
+    for (const Member &member : members) {
+        *list.add_members() = toWire(member);
+    }
+    return list.SerializeAsString();
+}
+
+Result<std::vector<Member>> decodeMembers(const std::string &content)
+{
+    wire::MemberList list;
+    if (!list.ParseFromString(content)) {
+        return Error(ErrorKind::Corrupt, "a list of gateways cannot be decoded");
+    }
+    std::vector<Member> members;
+    for (const wire::Member &entry : list.members()) {
+        BOOST_OUTCOME_TRY(Member member, fromWire(entry));
+        members.push_back(std::move(member));
+    }
+    return members;
+}
+
+} // namespace basilhall::gateway
--- /dev/null
+++ b/basilhall/gateway/registration_codec.h
@@ -0,0 +1,25 @@
+// Encodes the lists of registrations that gateways send each other.
+//
+//     const std::string content = encodeEndpoints(state.endpointListing(now));
+//     Result<EndpointListing> decoded = decodeEndpoints(content);
+#pragma once
+
+#include "basilhall/base/result.h"
+#include "basilhall/gateway/fleet_state.h"
+#include "basilhall/gateway/member.h"
+
+#include <string>
+#include <vector>
+
+namespace basilhall::gateway
+{
+
+std::string encodeEndpoints(const EndpointListing &listing);
+// Error Corrupt names the endpoint without a valid address.
+Result<EndpointListing> decodeEndpoints(const std::string &content);
+
+std::string encodeMembers(const std::vector<Member> &members);
+// Error Corrupt as for fromWire().
+Result<std::vector<Member>> decodeMembers(const std::string &content);
+
+} // namespace basilhall::gateway
--- /dev/null
+++ b/basilhall/gateway/registration_codec_test.cpp
@@ -0,0 +1,38 @@
+#include "basilhall/gateway/registration_codec.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace basilhall;
+using namespace basilhall::gateway;
+
+BOOST_AUTO_TEST_SUITE(registration_codec)
+
+BOOST_AUTO_TEST_CASE(decodeReturnsTheEncodedEndpoints)
+{
+    const EndpointListing listing{
+        {{EndpointName("e"), "engines", {"10.0.0.1", 80}, FailureDomain("a"), 6, true, 1234}},
+        true};
+    const auto decoded = decodeEndpoints(encodeEndpoints(listing));
+    BOOST_TEST_REQUIRE(decoded.has_value());
+    BOOST_TEST((decoded.value() == listing));
+}
+
+BOOST_AUTO_TEST_CASE(decodeReturnsTheEncodedMembers)
+{
+    const std::vector<Member> members{
+        {HostName("h"), Incarnation("i"), {"10.0.0.1", 80}, FailureDomain("a"), 500}};
+    const auto decoded = decodeMembers(encodeMembers(members));
+    BOOST_TEST_REQUIRE(decoded.has_value());
+    BOOST_TEST((decoded.value() == members));
+}
+
+BOOST_AUTO_TEST_CASE(errorNamesAnEndpointWithoutAddress)
+{
+    const EndpointListing listing{{{EndpointName("broken"), "engines", {}, FailureDomain("a")}}};
+    const auto decoded = decodeEndpoints(encodeEndpoints(listing));
+    BOOST_TEST_REQUIRE(!decoded.has_value());
+    BOOST_TEST(decoded.error().message().find("broken") != std::string::npos);
+    BOOST_TEST(!decodeMembers("\xff").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
