Refuse first turns while engines are overloaded; late programs are served after others

Load pattern: more programs than the engines finish in their time.

Also: the pace of an endpoint counts only answers that it gave while under half full, since a busy engine is slow because of its load, and the learned costs stay closer to the assumed ones.

--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -16,6 +16,7 @@
 #include "basilhall/gateway/refusal.h"
 #include "basilhall/gateway/turn_keeper.h"
 #include "basilhall/http/client.h"
+#include "basilhall/placement/program_admission.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <memory>
@@ -79,6 +80,7 @@
         }
         BOOST_OUTCOME_TRY(context.call, Dialect::decodeCall(context.exchange->request()));
         BOOST_OUTCOME_TRY(resolveRoute(context));
+        BOOST_OUTCOME_TRY(admitProgram(context));
         if (context.team != nullptr) {
             BOOST_OUTCOME_TRY(
                 m_state.admit(context.team->name, beginsProgram(context), context.arrivedAt));
@@ -86,6 +88,27 @@
         return success();
     }
 
+    // Refuses the first turn of a program while the engines are overloaded.
+    Result<void> admitProgram(const CallContext &context)
+    {
+        if (!beginsProgram(context)) {
+            return success();
+        }
+        const std::string &service = context.work.service;
+        const auto occupancy = m_state.placement().occupancy(service, context.arrivedAt);
+        const placement::EngineLoad load{occupancy.requests, occupancy.slots,
+                                         m_state.placement().stretch(service)};
+        const std::uint64_t hash = std::hash<std::string>()(context.call.program.value());
+        if (!placement::refusesProgram(load, priorityOf(context), hash)) {
+            return success();
+        }
+        m_log.overloaded(context, load);
+        return Error(ErrorKind::Overloaded,
+                     "service \"" + service + "\" is overloaded; no further program begins")
+            .withNotRun()
+            .withRetryAfter(overloadRetry(hash));
+    }
+
     // True for the first turn of a program that this gateway does not know.
     bool beginsProgram(const CallContext &context) const
     {
--- a/basilhall/gateway/internal/call_log.cpp
+++ b/basilhall/gateway/internal/call_log.cpp
@@ -52,6 +52,14 @@
                Field("send", context.sends));
 }
 
+void CallLog::overloaded(const CallContext &context, const placement::EngineLoad &load)
+{
+    m_log.info("The first turn of a program is refused because of overload.",
+               Field("call", context.call.id), Field("program", context.call.program),
+               Field("requests", load.requests), Field("slots", load.slots),
+               Field("stretch", load.stretch));
+}
+
 void CallLog::failed(const CallContext &context, const Error &error)
 {
     m_log.warning("Attempt failed.", Field("call", context.call.id),
--- a/basilhall/gateway/internal/call_log.h
+++ b/basilhall/gateway/internal/call_log.h
@@ -9,6 +9,7 @@
 #include "basilhall/gateway/call_context.h"
 #include "basilhall/logging/log.h"
 #include "basilhall/metrics/registry.h"
+#include "basilhall/placement/program_admission.h"
 
 namespace basilhall::gateway
 {
@@ -23,6 +24,8 @@
     void started();
     // An endpoint stated that it has not run the request.
     void notRun(const CallContext &context, int status);
+    // The first turn of a program is refused.
+    void overloaded(const CallContext &context, const placement::EngineLoad &load);
     // An attempt failed; the request may have run.
     void failed(const CallContext &context, const Error &error);
     void finished(const CallContext &context, const Result<void> &outcome);
--- a/basilhall/gateway/internal/route_choice.cpp
+++ b/basilhall/gateway/internal/route_choice.cpp
@@ -11,6 +11,11 @@
 {
 
 constexpr std::uint32_t kLowestPriority = 9;
+// Added to the priority of a turn whose program is late.
+constexpr std::uint32_t kLateProgramPriority = 2;
+constexpr Duration kMinOverloadRetry = std::chrono::milliseconds(500);
+constexpr Duration kOverloadRetrySpread = std::chrono::milliseconds(700);
+constexpr std::uint64_t kRetrySteps = 64;
 
 // Selects a service of a split route by the hash of the request identifier and the weights.
 const std::string &chooseService(const fleet::Route &route, const CallId &id)
@@ -58,12 +63,24 @@
     return success();
 }
 
+Duration overloadRetry(std::uint64_t programHash)
+{
+    // Other bits than those that decide which programs are refused.
+    const auto step = static_cast<Duration::rep>((programHash >> 32U) % kRetrySteps);
+    return kMinOverloadRetry
+        + kOverloadRetrySpread * step / static_cast<Duration::rep>(kRetrySteps);
+}
+
 std::uint32_t priorityOf(const CallContext &context)
 {
     std::uint32_t priority = context.route->priority;
     if (context.team != nullptr && context.team->priority) {
         priority = *context.team->priority;
     }
+    const auto &programTimeLeft = context.call.programTimeLeft;
+    if (programTimeLeft && *programTimeLeft <= Duration::zero()) {
+        priority += kLateProgramPriority;
+    }
     return std::min(priority, kLowestPriority);
 }
 
--- a/basilhall/gateway/internal/route_choice.h
+++ b/basilhall/gateway/internal/route_choice.h
@@ -41,7 +41,11 @@
 // Determines the route, team, deadline and work of the call. Errors: NotFound, Unauthenticated,
 // DeadlineExceeded.
 Result<void> resolveRoute(CallContext &context);
-// Returns the priority from 0 to 9; 0 is served first.
+// Returns the time after which a program that was refused because of overload may try again: about
+// the time of a turn, spread so that the refused programs do not return together.
+Duration overloadRetry(std::uint64_t programHash);
+// Returns the priority from 0 to 9; 0 is served first. Turns of programs that are late are served
+// after those that can still end in time.
 std::uint32_t priorityOf(const CallContext &context);
 Error noEndpoint(const CallContext &context);
 // Empty on public routes.
--- a/basilhall/placement/endpoint_pace.cpp
+++ b/basilhall/placement/endpoint_pace.cpp
@@ -12,7 +12,8 @@
 // Time after which an answer counts half: an endpoint that was slow is tried again within a few
 // seconds.
 constexpr double kHalfLifeSeconds = 2;
-// Number of answers at the expected pace that are assumed, so that a single failure changes nothing.
+// Number of answers at the expected pace that are assumed, so that a single failure changes
+// nothing.
 constexpr double kAssumedAnswers = 10;
 // Answers vary; below this factor an endpoint is not treated as slow.
 constexpr double kMinFactor = 1.5;
--- a/basilhall/placement/engine_model.cpp
+++ b/basilhall/placement/engine_model.cpp
@@ -20,12 +20,21 @@
 constexpr double kPrefillPriorWeight = 10.0 * 1000 * 1000;
 constexpr double kIntervalPriorWeight = 10.0 * 2 * 2;
 // Limits for slopes that samples with little spread could distort.
-constexpr double kMaxSlopeChange = 8;
+constexpr double kMaxSlopeChange = 4;
+// Other requests in a batch always cost something: without this share of the assumption, all
+// requests would go to the engines with the longest cached prefix.
+constexpr double kMinSlowdownShare = 0.5;
 // An answer that took longer waited for something else than prefill, for instance a lost packet.
 constexpr double kMaxFirstEventMs = 1500;
 // Answers needed before other answers are compared with the model.
-constexpr double kMinAnswers = 20;
+constexpr std::uint32_t kMinAnswers = 20;
 constexpr double kEventsWeight = 0.02;
+// About the last 20 answers: a second or two at one gateway.
+constexpr double kRecentWeight = 0.05;
+// Relative steps of the percentile; their ratio determines which percentile it is. The step up is
+// small, so that minutes of high load do not count as normal.
+constexpr double kPercentileStepUp = 0.0005;
+constexpr double kPercentileStepDown = 0.0045;
 
 double milliseconds(Duration duration)
 {
@@ -52,12 +61,39 @@
                      std::min(milliseconds(timing.untilFirstEvent), kMaxFirstEventMs));
     m_meanEvents += kEventsWeight * (static_cast<double>(timing.events) - m_meanEvents);
     if (timing.events > 1) {
-        m_eventInterval.add(conditions.runningRequests,
-                            milliseconds(timing.streaming)
-                                / static_cast<double>(timing.events - 1));
+        const double interval =
+            milliseconds(timing.streaming) / static_cast<double>(timing.events - 1);
+        m_eventInterval.add(conditions.runningRequests, interval);
+        addInterval(interval);
     }
 }
 
+void EngineModel::addInterval(double ms)
+{
+    ++m_intervals;
+    if (m_intervals == 1) {
+        m_recentInterval = ms;
+        m_fastInterval = ms;
+        return;
+    }
+    m_recentInterval += kRecentWeight * (ms - m_recentInterval);
+    if (ms >= m_fastInterval) {
+        m_fastInterval *= 1 + kPercentileStepUp;
+    } else if (m_intervals <= kMinAnswers) {
+        m_fastInterval = ms;
+    } else {
+        m_fastInterval *= 1 - kPercentileStepDown;
+    }
+}
+
+double EngineModel::stretch() const
+{
+    if (m_intervals < kMinAnswers || m_fastInterval <= 0) {
+        return 1;
+    }
+    return std::max(m_recentInterval / m_fastInterval, 1.0);
+}
+
 double EngineModel::prefillMs(std::uint64_t tokens) const
 {
     return static_cast<double>(tokens)
@@ -66,8 +102,10 @@
 
 double EngineModel::slowdownMs(std::uint32_t runningRequests) const
 {
-    return runningRequests * m_meanEvents
-        * clampedSlope(m_eventInterval.slope(), kInitialIntervalMsPerRequest);
+    const double assumed = kInitialEvents * kInitialIntervalMsPerRequest;
+    const double learned =
+        m_meanEvents * clampedSlope(m_eventInterval.slope(), kInitialIntervalMsPerRequest);
+    return runningRequests * std::max(learned, assumed * kMinSlowdownShare);
 }
 
 double EngineModel::turnMs() const
--- a/basilhall/placement/engine_model.h
+++ b/basilhall/placement/engine_model.h
@@ -49,6 +49,9 @@
     double slowdownMs(std::uint32_t runningRequests) const;
     // Mean time that a turn occupies a slot, in ms.
     double turnMs() const;
+    // Recent time between events divided by that of an engine without other work; grows when
+    // prompts of other requests are prefilled in between. 1 before there are enough answers.
+    double stretch() const;
     // Time of an answer divided by the expected time; above 1 if the engine was slower than the
     // other engines of the service under the same conditions. 1 before there are enough answers.
     double timeRatio(const SendConditions &conditions, const AnswerTiming &timing) const;
@@ -59,6 +62,13 @@
     // Time between events, in ms, over running requests.
     LinearFit m_eventInterval;
     double m_meanEvents;
+    // Mean of the most recent times between events, and their 10th percentile over a long time, in
+    // ms.
+    double m_recentInterval = 0;
+    double m_fastInterval = 0;
+    std::uint32_t m_intervals = 0;
+
+    void addInterval(double ms);
 };
 
 } // namespace basilhall::placement
--- a/basilhall/placement/engine_model_test.cpp
+++ b/basilhall/placement/engine_model_test.cpp
@@ -58,4 +58,22 @@
     BOOST_TEST(model.timeRatio(conditions, timing) == 4.0, boost::test_tools::tolerance(0.1));
 }
 
+// Load pattern: more programs than the engines finish in time. The time between events grows
+// because prompts are prefilled in between.
+BOOST_AUTO_TEST_CASE(stretchShowsOverload)
+{
+    EngineModel model = trained();
+    BOOST_TEST(model.stretch() < 1.2);
+    for (int i = 0; i < 60; ++i) {
+        AnswerTiming timing = slowPrefillTiming({1000, 5});
+        timing.streaming *= 4;
+        model.onAnswer({1000, 5}, timing);
+    }
+    BOOST_TEST(model.stretch() > 3.0);
+    for (int i = 0; i < 100; ++i) {
+        model.onAnswer({1000, 1}, slowPrefillTiming({1000, 1}));
+    }
+    BOOST_TEST(model.stretch() < 1.3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/basilhall/placement/placement.cpp
+++ b/basilhall/placement/placement.cpp
@@ -183,6 +183,12 @@
     return sum;
 }
 
+double Placement::stretch(const std::string &service) const
+{
+    const auto found = m_models.find(service);
+    return found == m_models.end() ? 1 : found->second.stretch();
+}
+
 void Placement::markLoadChanged(State &state)
 {
     if (!std::exchange(state.hasLoadChange, true)) {
@@ -235,7 +241,10 @@
         return;
     }
     EngineModel &model = modelOf(state);
-    addPace(state, std::min(model.timeRatio(conditions, timing), kFailureRatio), now);
+    // A busy engine is slow because of its load, which the cost includes already.
+    if (2 * conditions.runningRequests < state.engine->batchSlots) {
+        addPace(state, std::min(model.timeRatio(conditions, timing), kFailureRatio), now);
+    }
     model.onAnswer(conditions, timing);
 }
 
--- a/basilhall/placement/placement.h
+++ b/basilhall/placement/placement.h
@@ -59,6 +59,8 @@
         auto operator<=>(const Occupancy &) const = default;
     };
     Occupancy occupancy(const std::string &service, Instant now) const;
+    // See EngineModel::stretch(); 1 for plain services.
+    double stretch(const std::string &service) const;
 
     // Returns the conditions for onAnswered().
     SendConditions onSent(const EndpointName &name, const Work &work);
