Lists of endpoints do not extend the grace period of lapsed registrations

Traced with the log of edge-kolkata-a-2 (back at 11.55 s) and edge-kolkata-a-4 (requests at 14.9 s to an endpoint removed at 11.71 s). Ruled out: late watches, all gateways saw the removal within 15 ms. A list now carries the grace time left; lists without an outage do not begin a new period.

--- a/basilhall/fleet/endpoint_directory.cpp
+++ b/basilhall/fleet/endpoint_directory.cpp
@@ -24,7 +24,9 @@
         m_gracePeriodEnd.reset();
     }
     if ((afterOutage || isInGracePeriod) && !m_endpoints.empty()) {
-        noteOutage(now);
+        if (afterOutage) {
+            noteOutage(now);
+        }
         for (const auto &[name, endpoint] : m_endpoints) {
             if (!present.contains(name)) {
                 m_lapsedNames.push_back(name);
@@ -37,7 +39,12 @@
 
 void EndpointDirectory::noteOutage(Instant now)
 {
-    m_gracePeriodEnd = std::max(m_gracePeriodEnd.value_or(now), now + m_gracePeriod);
+    extendGracePeriod(now + m_gracePeriod);
+}
+
+void EndpointDirectory::extendGracePeriod(Instant end)
+{
+    m_gracePeriodEnd = std::max(m_gracePeriodEnd.value_or(end), end);
 }
 
 void EndpointDirectory::set(const Endpoint &endpoint)
--- a/basilhall/fleet/endpoint_directory.h
+++ b/basilhall/fleet/endpoint_directory.h
@@ -31,6 +31,8 @@
     // The store refuses calls or does not answer, so registrations may lapse although their
     // endpoints are alive. Restarts the grace period.
     void noteOutage(Instant now);
+    // A peer keeps lapsed registrations until `end`; this directory does too.
+    void extendGracePeriod(Instant end);
     void set(const Endpoint &endpoint);
     // Handles a removal that the store reports. During the grace period it takes effect at its end.
     void remove(const EndpointName &name, Instant now);
--- a/basilhall/fleet/endpoint_directory_test.cpp
+++ b/basilhall/fleet/endpoint_directory_test.cpp
@@ -37,6 +37,21 @@
     BOOST_TEST(!directory.find(EndpointName("c")));
 }
 
+// A peer passes on lists several times a second while its own grace period lasts. Each list used to
+// begin the period again, and leaving endpoints got requests 3.2 s after they had been removed
+// (khamir-serve-grown trouble-1).
+BOOST_AUTO_TEST_CASE(listsDuringTheGracePeriodDoNotExtendIt)
+{
+    EndpointDirectory directory(2s);
+    directory.replaceAll({endpoint("a"), endpoint("b")}, false, kStart);
+    directory.extendGracePeriod(kStart + 1s);
+    directory.replaceAll({endpoint("a")}, false, kStart + 500ms);
+    directory.replaceAll({endpoint("a")}, false, kStart + 900ms);
+    BOOST_TEST(directory.find(EndpointName("b")) != nullptr);
+    BOOST_TEST(directory.expire(kStart + 1s).size() == 1U);
+    BOOST_TEST(directory.find(EndpointName("b")) == nullptr);
+}
+
 // Guards against an empty directory while the store refuses writes: registrations lapse because
 // they cannot be renewed, the watch still reports their removal, and no endpoint was known for
 // seconds (khamir inc-03f1).
--- a/basilhall/gateway/fleet_state.cpp
+++ b/basilhall/gateway/fleet_state.cpp
@@ -77,6 +77,14 @@
     placeAll();
 }
 
+void FleetState::replaceEndpoints(const EndpointListing &listing, Instant now)
+{
+    if (listing.graceLeft > Duration::zero()) {
+        m_directory.extendGracePeriod(now + listing.graceLeft);
+    }
+    replaceEndpoints(listing.endpoints, false, now);
+}
+
 void FleetState::setEndpoint(const fleet::Endpoint &endpoint)
 {
     m_directory.set(endpoint);
@@ -103,7 +111,8 @@
 EndpointListing FleetState::endpointListing(Instant now) const
 {
     const std::optional<Instant> graceEnd = m_directory.nextExpiry();
-    return {m_directory.registered(), graceEnd && now < *graceEnd};
+    return {m_directory.registered(),
+            graceEnd && now < *graceEnd ? *graceEnd - now : Duration::zero()};
 }
 
 bool FleetState::hasEndpoint(const EndpointName &name) const
--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -28,8 +28,9 @@
 // The endpoints that the object API lists. Immutable value.
 struct EndpointListing {
     std::vector<fleet::Endpoint> endpoints;
-    // The object API was unavailable before: registrations of running endpoints may be missing.
-    bool isAfterOutage = false;
+    // The object API was unavailable before: registrations of running endpoints may be missing, and
+    // those that lapsed stay valid for this time.
+    Duration graceLeft{};
 
     auto operator<=>(const EndpointListing &) const = default;
 };
@@ -51,6 +52,8 @@
                           Instant now);
     // Records a store outage, during which registrations may lapse although their endpoints run.
     void noteStoreOutage(Instant now) { m_directory.noteOutage(now); }
+    // Applies the list of a peer.
+    void replaceEndpoints(const EndpointListing &listing, Instant now);
     void setEndpoint(const fleet::Endpoint &endpoint);
     void removeEndpoint(const EndpointName &name, Instant now);
     // Drops registrations that were not renewed within the grace period. Returns their number.
--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -171,7 +171,7 @@
                       Field("version", document.version), Field("reason", listing.error()));
             return;
         }
-        state.replaceEndpoints(listing.value().endpoints, listing.value().isAfterOutage, now());
+        state.replaceEndpoints(listing.value(), now());
         if (!std::exchange(hasEndpointList, true)) {
             log.info("Fetched the endpoints from a peer.",
                      Field("listed", listing.value().endpoints.size()),
--- a/basilhall/gateway/registration_codec.cpp
+++ b/basilhall/gateway/registration_codec.cpp
@@ -8,7 +8,8 @@
 std::string encodeEndpoints(const EndpointListing &listing)
 {
     wire::EndpointList list;
-    list.set_after_outage(listing.isAfterOutage);
+    list.set_grace_left_ms(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(listing.graceLeft).count()));
     for (const fleet::Endpoint &endpoint : listing.endpoints) {
         wire::Endpoint &entry = *list.add_endpoints();
         entry.set_name(endpoint.name.value());
@@ -29,7 +30,7 @@
         return Error(ErrorKind::Corrupt, "a list of endpoints cannot be decoded");
     }
     EndpointListing listing;
-    listing.isAfterOutage = list.after_outage();
+    listing.graceLeft = std::chrono::milliseconds(list.grace_left_ms());
     for (const wire::Endpoint &entry : list.endpoints()) {
         const Result<Address> address = parseAddress(entry.address());
         if (!address) {
--- a/basilhall/gateway/registration_codec_test.cpp
+++ b/basilhall/gateway/registration_codec_test.cpp
@@ -11,7 +11,7 @@
 {
     const EndpointListing listing{
         {{EndpointName("e"), "engines", {"10.0.0.1", 80}, FailureDomain("a"), 6, true, 1234}},
-        true};
+        std::chrono::milliseconds(1500)};
     const auto decoded = decodeEndpoints(encodeEndpoints(listing));
     BOOST_TEST_REQUIRE(decoded.has_value());
     BOOST_TEST((decoded.value() == listing));
@@ -28,7 +28,8 @@
 
 BOOST_AUTO_TEST_CASE(errorNamesAnEndpointWithoutAddress)
 {
-    const EndpointListing listing{{{EndpointName("broken"), "engines", {}, FailureDomain("a")}}};
+    const EndpointListing listing{{{EndpointName("broken"), "engines", {}, FailureDomain("a")}},
+                                  Duration()};
     const auto decoded = decodeEndpoints(encodeEndpoints(listing));
     BOOST_TEST_REQUIRE(!decoded.has_value());
     BOOST_TEST(decoded.error().message().find("broken") != std::string::npos);
