Gateways that are no holders serve before they have the ledger

A gateway that is no holder needs the ledger only to replace one; it now fetches it 1 to 5 s after it is ready. A holder without the ledger is home of no program.

--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -39,6 +39,10 @@
 // Interval between checks whether journals have to be read; meanwhile peers answer for their
 // content.
 constexpr Duration kBackgroundLoadInterval = std::chrono::seconds(1);
+// A gateway that is no holder fetches the ledger within this time after it is ready.
+constexpr Duration kMinLedgerFetchDelay = std::chrono::seconds(1);
+constexpr Duration kLedgerFetchSpread = std::chrono::seconds(4);
+constexpr std::uint64_t kLedgerFetchSteps = 64;
 constexpr Duration kLedgerLoadPause = std::chrono::milliseconds(200);
 // A successor reads only the journal after the last ledger; each ledger costs one store call.
 constexpr Duration kLedgerInterval = std::chrono::seconds(2);
@@ -227,8 +231,56 @@
         }
     }
 
-    // Loads the ledgers from a peer, or else from the object API, and retries until that succeeds;
-    // then loads all turns in the background.
+    enum class LedgerSource {
+        Peer,
+        Store,
+        // A holder has the ledger and admits the turns of this gateway.
+        Holder,
+    };
+
+    // Loads the earlier spending once. A gateway that is no holder does not need it to serve, and
+    // only reads it from the object API if no holder has read it for long.
+    static asio::awaitable<Result<LedgerSource>> loadLedger(std::shared_ptr<Private> self,
+                                                            Instant startTime)
+    {
+        if (!self->keeper.isLoaded() && !self->mesh.isHolder()
+            && self->mesh.hasHolderWithLedger()) {
+            co_return LedgerSource::Holder;
+        }
+        if (co_await self->mesh.fetchLedger()) {
+            self->keeper.setLedgerKnown();
+            co_return LedgerSource::Peer;
+        }
+        if (!self->mesh.isHolder() && now() - startTime <= kHolderLoadTimeout) {
+            co_return Error(ErrorKind::Unavailable, "no holder has loaded the ledgers yet");
+        }
+        const Result<void> loaded = co_await self->keeper.reader().loadLedgers();
+        if (!loaded) {
+            if (!std::exchange(self->isLedgerFailureLogged, true)) {
+                self->log.warning("Cannot read the ledgers yet.", Field("reason", loaded.error()));
+            }
+            co_return loaded.error();
+        }
+        // A peer that has loaded the ledgers meanwhile may have admitted turns since.
+        if (co_await self->mesh.fetchLedger()) {
+            self->keeper.setLedgerKnown();
+            co_return LedgerSource::Peer;
+        }
+        co_return LedgerSource::Store;
+    }
+
+    // Time after which a gateway that is no holder fetches the ledger, so that it can replace one.
+    // After a restart of all gateways, the fetches are spread over the links of the holders.
+    Duration ledgerFetchDelay() const
+    {
+        const auto step = static_cast<Duration::rep>(std::hash<std::string>()(settings.host.value())
+                                                     % kLedgerFetchSteps);
+        return kMinLedgerFetchDelay
+            + kLedgerFetchSpread * step / static_cast<Duration::rep>(kLedgerFetchSteps);
+    }
+
+    // Makes the gateway ready once it or a holder knows the ledgers; then loads what is missing in
+    // the background.
     static asio::awaitable<void> load(std::shared_ptr<Private> self)
     {
         asio::steady_timer pause(self->executor);
@@ -239,29 +291,14 @@
             pause.expires_after(kPeerPollInterval);
             (void)co_await pause.async_wait(kTuple);
         }
-        bool isFailureLogged = false;
         bool isLoadedFromStore = false;
         while (true) {
-            const bool isFetchedFromPeer = co_await self->mesh.fetchLedger();
-            if (isFetchedFromPeer) {
+            const Result<LedgerSource> source = co_await loadLedger(self, startTime);
+            if (source) {
+                isLoadedFromStore = source.value() == LedgerSource::Store;
                 break;
             }
-            const bool isReader = self->mesh.isHolder() || now() - startTime > kHolderLoadTimeout;
-            Result<void> loaded = success();
-            if (isReader) {
-                loaded = co_await self->keeper.reader().loadLedgers();
-                if (loaded) {
-                    // A peer that has loaded the ledgers meanwhile may have admitted turns since.
-                    const bool isFetchedMeanwhile = co_await self->mesh.fetchLedger();
-                    isLoadedFromStore = !isFetchedMeanwhile;
-                    break;
-                }
-                if (!std::exchange(isFailureLogged, true)) {
-                    self->log.warning("Cannot read the ledgers yet.",
-                                      Field("reason", loaded.error()));
-                }
-            }
-            pause.expires_after(isReader ? kLedgerLoadPause : kPeerPollInterval);
+            pause.expires_after(self->mesh.isHolder() ? kLedgerLoadPause : kPeerPollInterval);
             (void)co_await pause.async_wait(kTuple);
         }
         // If no peer knew the ledgers, the gateways choose new homes for the programs. All choose
@@ -271,12 +308,22 @@
             pause.expires_after(kPeerPollInterval);
             (void)co_await pause.async_wait(kTuple);
         }
+        if (isLoadedFromStore) {
+            self->keeper.setLedgerKnown();
+        }
         self->keeper.setLoaded();
-        self->log.info("Loaded the kept turns and spending.",
-                       Field("turns", self->state.turns().size()),
-                       Field("programs", self->state.budgets().size()),
-                       Field("from_peer", !isLoadedFromStore), Field("after", now() - startTime));
+        self->log.info(
+            "Loaded the kept turns and spending.", Field("turns", self->state.turns().size()),
+            Field("programs", self->state.budgets().size()), Field("from_peer", !isLoadedFromStore),
+            Field("ledger", self->keeper.knowsLedger()), Field("after", now() - startTime));
+        const Instant ledgerFetchAt = now() + self->ledgerFetchDelay();
         while (!self->isStopped) {
+            if (!self->keeper.knowsLedger() && (self->mesh.isHolder() || now() >= ledgerFetchAt)) {
+                const Result<LedgerSource> source = co_await loadLedger(self, startTime);
+                if (source && source.value() == LedgerSource::Store) {
+                    self->keeper.setLedgerKnown();
+                }
+            }
             // The peers may lose earlier turns when they restart one after the other.
             if (self->mesh.isSubscribedToTurns() && !self->keeper.reader().hasLoadedTurns()) {
                 const Result<void> loaded = co_await self->keeper.reader().loadTurns();
@@ -366,6 +413,7 @@
     http::Server readyServer;
     std::unique_ptr<http::Server> callers;
     const Instant startedAt = now();
+    bool isLedgerFailureLogged = false;
     // The kinds whose watches deliver changes.
     std::set<DocumentKind> availableWatches;
     bool isWatchingStore = false;
--- a/basilhall/gateway/internal/peer_requests.cpp
+++ b/basilhall/gateway/internal/peer_requests.cpp
@@ -56,7 +56,7 @@
         reply = co_await admit(stream->request());
     } else if (stream->method() == kTurnMethod) {
         reply = turn(stream->request());
-    } else if (stream->method() == kLedgerMethod && m_keeper.isLoaded()) {
+    } else if (stream->method() == kLedgerMethod && m_keeper.knowsLedger()) {
         reply = ledger();
     } else if (stream->method() == kLedgerMethod) {
         co_return;
@@ -100,7 +100,7 @@
     wire::AdmitReply reply;
     reply.set_incarnation(m_state.self().value());
     reply.set_verdict(wire::ADMIT_VERDICT_ELSEWHERE);
-    for (std::uint32_t round = 0; m_keeper.isLoaded() && round < kAdmissionRounds; ++round) {
+    for (std::uint32_t round = 0; m_keeper.knowsLedger() && round < kAdmissionRounds; ++round) {
         turns::BudgetLedger &budgets = m_state.budgets();
         if (budgets.isOrphan(turn.program) && m_keeper.reader().mayMissSpending()) {
             // The lost home may have written spending that it did not send.
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -429,7 +429,7 @@
     {
         std::shared_ptr<Peer> best;
         std::optional<std::size_t> bestHash;
-        if (isHolder) {
+        if (mayBeHome()) {
             bestHash = rendezvousHash(program, self.host);
         }
         for (const auto &[host, peer] : peers) {
@@ -442,6 +442,8 @@
         return best;
     }
 
+    bool mayBeHome() const { return isHolder && keeper.knowsLedger(); }
+
     static std::size_t rendezvousHash(const ProgramId &program, const HostName &host)
     {
         return std::hash<std::string>()(program.value() + "/" + host.value());
@@ -491,7 +493,7 @@
         update.set_incarnation(self.incarnation.value());
         update.set_durable_batch(keeper.durableBatch());
         // Without the object API, this gateway cannot read the last records of a lost home.
-        update.set_knows_ledger(keeper.isLoaded()
+        update.set_knows_ledger(keeper.knowsLedger()
                                 && (!keeper.reader().mayMissSpending()
                                     || keeper.storeFailingFor() == Duration::zero()));
         update.set_watches_store(isWatchingStore);
@@ -1019,6 +1021,14 @@
            });
 }
 
+bool PeerMesh::hasHolderWithLedger() const
+{
+    return std::any_of(d->peers.begin(), d->peers.end(), [this](const auto &entry) {
+        const Peer &peer = *entry.second;
+        return peer.isConnected && peer.knowsLedger && d->isHolderAmong(peer.member);
+    });
+}
+
 asio::awaitable<bool> PeerMesh::fetchLedger()
 {
     const auto self = d;
@@ -1106,7 +1116,7 @@
     if (!home) {
         home = self->newHomeOf(turn.program);
     }
-    if (!home && !self->isHolder) {
+    if (!home && !self->mayBeHome()) {
         co_return Error(ErrorKind::Unavailable,
                         "no gateway that can be the home of the program is connected");
     }
--- a/basilhall/gateway/peer_mesh.h
+++ b/basilhall/gateway/peer_mesh.h
@@ -95,6 +95,9 @@
     bool isConnectedToAll() const;
     // True if this gateway is a holder and every connected member sends it the turns that it keeps.
     bool isSubscribedToTurns() const;
+    // True if a connected holder knows all earlier spending, so that it can be the home of
+    // programs.
+    bool hasHolderWithLedger() const;
     // Fetches the spending of all gateways from a holder that knows it; false if there is none or
     // none answers.
     boost::asio::awaitable<bool> fetchLedger();
--- a/basilhall/gateway/peer_mesh_test.cpp
+++ b/basilhall/gateway/peer_mesh_test.cpp
@@ -80,6 +80,7 @@
     {
         for (const auto &node : {strong, middle, weak}) {
             node->keeper.setLoaded();
+            node->keeper.setLedgerKnown();
         }
     }
 
@@ -192,6 +193,33 @@
     BOOST_TEST(fresh->state.budgets().spent(ProgramId("p")) == 900U);
 }
 
+// After a restart of all gateways, those that are no holders serve before they have the ledger,
+// which the links of the holders cannot send to all of a large fleet at once.
+BOOST_AUTO_TEST_CASE(gatewayWithoutTheLedgerServesThroughAHolder)
+{
+    const auto fresh = std::make_shared<Node>(context, objects, "fresh", 90);
+    fresh->keeper.setLoaded();
+    middle = fresh;
+    connect();
+    BOOST_TEST(fresh->mesh.hasHolderWithLedger());
+    const auto admitted = askHome(*fresh, {ProgramId("p"), kTeam, 1000, 400});
+    BOOST_TEST_REQUIRE(admitted.has_value());
+    BOOST_TEST((admitted.value() == turns::Admission::Admitted));
+}
+
+// Its spending could be counted from zero.
+BOOST_AUTO_TEST_CASE(holderWithoutTheLedgerIsNoHome)
+{
+    strong = std::make_shared<Node>(context, objects, "new-holder", 600);
+    strong->keeper.setLoaded();
+    connect();
+    flushUntil([&] { return strong->mesh.isHolder(); });
+    BOOST_TEST(!weak->mesh.hasHolderWithLedger());
+    const turns::TurnBudget asked{ProgramId("p"), kTeam, 1000, 400};
+    BOOST_TEST(!askHome(*weak, asked).has_value());
+    BOOST_TEST(!askHome(*strong, asked).has_value());
+}
+
 // A holder that has just started has received a turn, but has not read the earlier turns of its
 // chain.
 BOOST_AUTO_TEST_CASE(turnWithAPartlyKnownChainIsNotReportedAsUnknown)
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -411,6 +411,7 @@
     bool isCoverScheduled = false;
     asio::steady_timer coverTimer;
     bool isLoaded = false;
+    bool knowsLedger = false;
 };
 
 TurnKeeper::TurnKeeper(const asio::any_io_executor &executor, StoreAccess access, FleetState &state,
@@ -579,6 +580,16 @@
     d->isLoaded = true;
 }
 
+void TurnKeeper::setLedgerKnown()
+{
+    d->knowsLedger = true;
+}
+
+bool TurnKeeper::knowsLedger() const
+{
+    return d->knowsLedger;
+}
+
 bool TurnKeeper::isLoaded() const
 {
     return d->isLoaded;
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -80,8 +80,11 @@
     void setSearchPeers(SearchPeers searchPeers);
     // Number of the last durable batch of this gateway's journal.
     std::uint64_t durableBatch() const;
-    // Call once all earlier spending has been loaded from a peer or from the object API.
+    // Call once turns can be served: this gateway or a holder knows all earlier spending.
     void setLoaded();
+    // Call once this gateway has loaded all earlier spending from a peer or from the object API.
+    void setLedgerKnown();
+    bool knowsLedger() const;
     // The reader of the ledgers and journals of all gateways.
     JournalReader &reader();
     // Writes the ledger of this gateway if its journal has grown since the last one. The first
@@ -105,7 +108,7 @@
     boost::asio::awaitable<Result<std::string>> prompt(turns::TurnId previous, TeamName team,
                                                        std::string input);
 
-    // False until setLoaded(): turns and budgets are not known yet.
+    // False until setLoaded(): turns and budgets cannot be served yet.
     bool isLoaded() const;
     // How long the object API has failed to accept records; zero if it accepts them.
     Duration storeFailingFor() const;
