--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -326,8 +326,12 @@
             }
             // The peers may lose earlier turns when they restart one after the other.
             if (self->mesh.isSubscribedToTurns() && !self->keeper.reader().hasLoadedTurns()) {
+                const Instant readAt = now();
                 const Result<void> loaded = co_await self->keeper.reader().loadTurns();
-                if (!loaded) {
+                if (loaded) {
+                    self->log.info("Read all journals.", Field("turns", self->state.turns().size()),
+                                   Field("after", now() - readAt));
+                } else {
                     self->log.warning("Cannot read the journals yet.",
                                       Field("reason", loaded.error()));
                 }
