--- a/basilhall/gateway/journal_reader.cpp
+++ b/basilhall/gateway/journal_reader.cpp
@@ -202,6 +202,9 @@
             if (!done) {
                 co_return done;
             }
+            self->log.info("Read the journal of a gateway to its end.", Field("incarnation", peer),
+                           Field("after_batch", lastKnown),
+                           Field("last_batch", self->lastRead[peer]));
             self->unreadJournals.erase(peer);
             self->unreadSpending.erase(peer);
         }
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -836,6 +836,11 @@
         const auto still = kept.find(host);
         peer->isDropped = still == kept.end() || still->second != peer;
         if (peer->isDropped) {
+            d->log.info(
+                "A gateway is no longer a member.", Field("peer", host),
+                Field("incarnation", peer->member.incarnation),
+                Field("replaced", still != kept.end()), Field("connected", peer->isConnected),
+                Field("silent", Private::now() - std::max(peer->lastUpdateAt, peer->listedAt)));
             const bool isStale = peer->lastUpdateAt == Instant::min()
                 && Private::now() - peer->listedAt < kStaleRegistrationAge;
             if (!isStale) {
@@ -1005,7 +1010,8 @@
         co_return TurnSearch::Incomplete;
     }
     self->log.info("No peer knows the turn.", Field("turn", id), Field("asked", asked.size()),
-                   Field("complete", isAnyComplete), Field("holder", completeHost));
+                   Field("complete", isAnyComplete), Field("holder", completeHost),
+                   Field("members", self->peers.size() + 1));
     co_return isAnyComplete ? TurnSearch::Unknown : TurnSearch::UnknownToPeers;
 }
 
