Failing tests: turns of a gateway that others do not list are answered 404

Five cases fail on this code: a gateway whose registration was removed while it was cut off; the same after a restart of the holder; a gateway that only the holder lists; a turn that another gateway wrote for an unlisted one, then lost; a gateway that cannot register.

--- a/basilhall/gateway/peer_mesh_test.cpp
+++ b/basilhall/gateway/peer_mesh_test.cpp
@@ -1,162 +1,12 @@
 #include "basilhall/gateway/peer_mesh.h"
 
-#include "basilhall/base/monotonic_clock.h"
-#include "basilhall/base/testing/run_coroutine.h"
-#include "basilhall/gateway/journal_reader.h"
-#include "basilhall/metrics/registry.h"
-#include "basilhall/store/memory_store.h"
+#include "basilhall/gateway/testing/mesh_fixture.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/test/unit_test.hpp>
-
-namespace asio = boost::asio;
 using namespace basilhall;
 using namespace basilhall::gateway;
-using basilhall::testing::runCoroutine;
-using namespace std::chrono_literals;
-
-namespace
-{
-
-constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
-const TeamName kTeam("bakers");
-
-// The keeper and the mesh of one gateway, on a separate port, with a store that all nodes share.
-struct Node {
-    Node(asio::io_context &context, store::MemoryStore &objects, const std::string &name,
-         std::uint32_t processorMillis)
-        : state(Incarnation(name + "-1"), FailureDomain("a"))
-        , keeper(
-              context.get_executor(),
-              [this, &objects](const store::Request &request,
-                               const store::OutcomeHandler &handler) {
-                  ++calls;
-                  handler(isCutFromStore ? Error(ErrorKind::StoreUnavailable, "cut").withNotRun()
-                                         : objects.apply(request));
-              },
-              state, logging::Log(), registry)
-        , mesh(
-              context.get_executor(),
-              {HostName(name),
-               Incarnation(name + "-1"),
-               {"127.0.0.1", 0},
-               FailureDomain("a"),
-               processorMillis},
-              state, keeper, logging::Log(),
-              [this](const Document &document) { mesh.publish(document); }, [](const Member &) {})
-    {
-        keeper.setRelay([this](std::vector<journal::Record> records) {
-            return mesh.relay(std::move(records));
-        });
-        keeper.setCommit([this](std::vector<journal::Record> records) {
-            return mesh.commit(std::move(records));
-        });
-        keeper.setSearchPeers([this](turns::TurnId id) { return mesh.findTurn(std::move(id)); });
-        keeper.setAnnounce([this](const journal::TurnKept &turn) { mesh.announce(turn); });
-    }
-
-    metrics::Registry registry;
-    FleetState state;
-    int calls = 0;
-    bool isCutFromStore = false;
-    TurnKeeper keeper;
-    PeerMesh mesh;
-};
-
-turns::KeptTurn turn(const std::string &id, const std::string &previous = "")
-{
-    return {turns::TurnId(id),
-            kTeam,
-            turns::TurnId(previous),
-            "in",
-            "out",
-            MonotonicClock().wallMillis() + 60'000};
-}
-
-struct Fixture {
-    Fixture()
-    {
-        for (const auto &node : {strong, middle, weak}) {
-            node->keeper.setLoaded();
-            node->keeper.setLedgerKnown();
-        }
-    }
-
-    // Connects all nodes to each other and waits until they receive updates.
-    void connect()
-    {
-        runCoroutine(context, [&]() -> asio::awaitable<void> {
-            std::vector<Member> members;
-            for (const auto &node : {strong, middle, weak}) {
-                members.push_back(node->mesh.member());
-            }
-            for (const auto &node : {strong, middle, weak}) {
-                node->mesh.setMembers(members);
-            }
-            asio::steady_timer pause(context);
-            while (strong->mesh.reachableCount() + middle->mesh.reachableCount()
-                       + weak->mesh.reachableCount()
-                   < 6) {
-                pause.expires_after(5ms);
-                (void)co_await pause.async_wait(kTuple);
-            }
-        });
-    }
-
-    Result<void> keep(Node &node, const turns::KeptTurn &kept)
-    {
-        Result<void> result = success();
-        runCoroutine(context, [&]() -> asio::awaitable<void> {
-            result = co_await node.keeper.keep(kept, 2s);
-        });
-        return result;
-    }
-
-    // Flushes all nodes repeatedly until the condition holds.
-    void flushUntil(const std::function<bool()> &condition)
-    {
-        runCoroutine(context, [&]() -> asio::awaitable<void> {
-            asio::steady_timer pause(context);
-            while (!condition()) {
-                for (const auto &node : {strong, middle, weak}) {
-                    node->mesh.flush();
-                }
-                pause.expires_after(5ms);
-                (void)co_await pause.async_wait(kTuple);
-            }
-        });
-    }
-
-    Result<std::string> prompt(Node &node, const std::string &previous)
-    {
-        Result<std::string> result = std::string();
-        runCoroutine(context, [&]() -> asio::awaitable<void> {
-            result = co_await node.keeper.prompt(turns::TurnId(previous), kTeam, "next");
-        });
-        return result;
-    }
-
-    Result<turns::Admission> askHome(Node &node, const turns::TurnBudget &asked)
-    {
-        Result<turns::Admission> result = turns::Admission::Orphaned;
-        runCoroutine(context, [&]() -> asio::awaitable<void> {
-            result = co_await node.mesh.askHome(asked);
-        });
-        return result;
-    }
-
-    asio::io_context context;
-    store::MemoryStore objects;
-    std::shared_ptr<Node> strong = std::make_shared<Node>(context, objects, "strong", 500);
-    std::shared_ptr<Node> middle = std::make_shared<Node>(context, objects, "middle", 200);
-    std::shared_ptr<Node> weak = std::make_shared<Node>(context, objects, "weak", 90);
-};
-
-} // namespace
+using namespace basilhall::gateway::testing;
 
-BOOST_FIXTURE_TEST_SUITE(gateway_peer_mesh, Fixture)
+BOOST_FIXTURE_TEST_SUITE(gateway_peer_mesh, MeshFixture)
 
 BOOST_AUTO_TEST_CASE(gatewayWithTheHighestCpuLimitWritesForAll)
 {
@@ -167,7 +17,7 @@
     BOOST_TEST(middle->calls == 0);
     BOOST_TEST(strong->calls > 0);
     // Turns that were written for other gateways can be read after the loss of all processes.
-    Node successor(context, objects, "successor", 500);
+    MeshNode successor(context, objects, "successor", 500);
     runCoroutine(context, [&]() -> asio::awaitable<void> {
         const Result<void> read = co_await successor.keeper.reader().loadTurns();
         BOOST_TEST(read.has_value());
@@ -182,7 +32,7 @@
     const Incarnation gone("gone-1");
     strong->state.budgets().onJournalReport(gone, {ProgramId("p"), kTeam, 0, 0, 0, 0, false, 900},
                                             MonotonicClock().now());
-    const auto fresh = std::make_shared<Node>(context, objects, "fresh", 90);
+    const auto fresh = std::make_shared<MeshNode>(context, objects, "fresh", 90);
     middle = fresh;
     connect();
     bool isFetched = false;
@@ -197,7 +47,7 @@
 // which the links of the holders cannot send to all of a large fleet at once.
 BOOST_AUTO_TEST_CASE(gatewayWithoutTheLedgerServesThroughAHolder)
 {
-    const auto fresh = std::make_shared<Node>(context, objects, "fresh", 90);
+    const auto fresh = std::make_shared<MeshNode>(context, objects, "fresh", 90);
     fresh->keeper.setLoaded();
     middle = fresh;
     connect();
@@ -210,7 +60,7 @@
 // Its spending could be counted from zero.
 BOOST_AUTO_TEST_CASE(holderWithoutTheLedgerIsNoHome)
 {
-    strong = std::make_shared<Node>(context, objects, "new-holder", 600);
+    strong = std::make_shared<MeshNode>(context, objects, "new-holder", 600);
     strong->keeper.setLoaded();
     connect();
     flushUntil([&] { return strong->mesh.isHolder(); });
@@ -268,7 +118,7 @@
 // programs whose home was lost, nor admit their turns.
 BOOST_AUTO_TEST_CASE(gatewayWithoutTheLedgerDoesNotBecomeHome)
 {
-    const auto fresh = std::make_shared<Node>(context, objects, "fresh", 200);
+    const auto fresh = std::make_shared<MeshNode>(context, objects, "fresh", 200);
     const Incarnation gone("gone-1");
     const MonotonicClock clock;
     for (const auto &node : {middle, weak}) {
@@ -327,7 +177,7 @@
     const ProgramId program("p");
     const MonotonicClock clock;
     {
-        Node gone(context, objects, "gone", 500);
+        MeshNode gone(context, objects, "gone", 500);
         gone.state.budgets().claim(program, clock.now());
         (void)gone.state.budgets().admit({program, kTeam, 1000, 900}, clock.now());
         runCoroutine(context, [&]() -> asio::awaitable<void> {
@@ -368,7 +218,7 @@
     const auto second = askHome(*weak, asked);
     BOOST_TEST((second && second.value() == turns::Admission::Admitted));
     // The record of the first turn is in the store before the second turn is admitted.
-    Node successor(context, objects, "successor", 500);
+    MeshNode successor(context, objects, "successor", 500);
     runCoroutine(context, [&]() -> asio::awaitable<void> {
         (void)co_await successor.keeper.reader().loadLedgers();
     });
--- /dev/null
+++ b/basilhall/gateway/unlisted_gateway_test.cpp
@@ -0,0 +1,95 @@
+// A gateway that other gateways do not list, although it runs, must not lose turns.
+#include "basilhall/gateway/membership.h"
+#include "basilhall/gateway/testing/mesh_fixture.h"
+
+using namespace basilhall;
+using namespace basilhall::gateway;
+using namespace basilhall::gateway::testing;
+
+BOOST_FIXTURE_TEST_SUITE(gateway_unlisted_gateway, MeshFixture)
+
+// A host that was cut off for longer than kSilenceLimit serves again before its peers list it.
+BOOST_AUTO_TEST_CASE(turnOfAGatewayWhoseRegistrationWasRemovedIsNotLost)
+{
+    connectWithLoadedHolder();
+    removeSilent(*middle);
+    middle->mesh.setMembers({});
+    flushUntil([this] { return middle->mesh.isHolder(); });
+    BOOST_TEST_REQUIRE(keep(*middle, turn("t1")).has_value());
+    const auto found = prompt(*weak, "t1");
+    BOOST_TEST((found && found.value() == "inoutnext"));
+    const auto foundByHolder = prompt(*strong, "t1");
+    BOOST_TEST((foundByHolder && foundByHolder.value() == "inoutnext"));
+    const auto none = prompt(*weak, "none");
+    BOOST_TEST((!none && none.error().kind() == ErrorKind::NotFound));
+}
+
+// All holders restart while such a host is cut off; the new ones know it from its ledger only.
+BOOST_AUTO_TEST_CASE(turnOfAnUnlistedGatewayIsNotLostAfterARestartOfTheHolder)
+{
+    middle->mesh.setMembers({});
+    flushUntil([this] { return middle->mesh.isHolder(); });
+    BOOST_TEST_REQUIRE(keep(*middle, turn("t1")).has_value());
+    strong->mesh.setMembers({weak->mesh.member()});
+    weak->mesh.setMembers({strong->mesh.member()});
+    flushUntil([this] { return strong->mesh.isSubscribedToTurns() && !weak->mesh.isHolder(); });
+    runCoroutine(context, [&]() -> asio::awaitable<void> {
+        const Result<void> read = co_await strong->keeper.reader().loadTurns();
+        BOOST_TEST(read.has_value());
+    });
+    BOOST_TEST_REQUIRE(keep(*middle, turn("t2", "t1")).has_value());
+    const auto found = prompt(*weak, "t2");
+    BOOST_TEST((found && found.value() == "inoutinoutnext"));
+}
+
+// The holder lists a gateway that the asking one does not, and has not received its turn yet.
+BOOST_AUTO_TEST_CASE(turnOfAGatewayThatOnlyTheHolderListsIsNotReportedAsUnknown)
+{
+    connectWithLoadedHolder();
+    weak->mesh.setMembers({strong->mesh.member()});
+    middle->state.turns().add(turn("t1"));
+    const auto unsure = prompt(*weak, "t1");
+    BOOST_TEST((!unsure && unsure.error().kind() != ErrorKind::NotFound));
+}
+
+// The writer is lost after it made a turn durable for a gateway that the holder does not list.
+BOOST_AUTO_TEST_CASE(turnWrittenForAnUnlistedGatewayReachesTheHolders)
+{
+    const auto writer = std::make_shared<MeshNode>(context, objects, "writer", 400, "b");
+    writer->keeper.setLoaded();
+    writer->keeper.setLedgerKnown();
+    const auto unlisted = middle;
+    middle = writer;
+    connectWithLoadedHolder();
+    unlisted->mesh.setMembers({writer->mesh.member()});
+    flushUntil([&] { return unlisted->mesh.reachableCount() == 1; });
+    BOOST_TEST_REQUIRE(keep(*unlisted, turn("t1")).has_value());
+    BOOST_TEST(unlisted->calls == 0);
+    wait(100ms);
+    BOOST_TEST(strong->state.turns().contains(turns::TurnId("t1")));
+    removeSilent(*writer);
+    const auto found = prompt(*weak, "t1");
+    BOOST_TEST((found && found.value() == "inoutnext"));
+}
+
+// The store refuses its registration, so no list includes it.
+BOOST_AUTO_TEST_CASE(gatewayThatCannotRegisterStaysAMemberWhileItIsSubscribed)
+{
+    Membership membership(
+        context.get_executor(), strong->mesh.member(),
+        [this](const store::Request &request, const store::OutcomeHandler &handler) {
+            handler(objects.apply(request));
+        },
+        strong->mesh, logging::Log());
+    strong->onMember = [&](const Member &member) { membership.onSubscribed(member); };
+    weak->mesh.setMembers({strong->mesh.member()});
+    wait(3200ms);
+    membership.setAll({strong->mesh.member()});
+    BOOST_TEST(strong->mesh.memberCount() == 1U);
+    weak->mesh.close();
+    wait(100ms);
+    membership.setAll({strong->mesh.member()});
+    BOOST_TEST(strong->mesh.memberCount() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
