A turn is reported as unknown only if no gateway outside the members can have kept it

Cause: a gateway that was silent for 8 s is dropped from the members although it may run. Until the host was listed again, its turns were in no place that anyone searched. The class of fault: absence from a list is taken for the end of a process.

A writer announces turns that it had not received. A gateway that is subscribed stays a member without a registration.

Why this works: a turn is durable before its end is sent, and reads of the store are linearizable, so a read that begins after the next turn has arrived finds it, whoever wrote it.

The check is replaced by two: 503 while it cannot read, 404 once it can.

--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -202,7 +202,7 @@
         if (kind == DocumentKind::Endpoints) {
             mesh.publish({kind, revision, encodeEndpoints(state.endpointListing(now()))});
         } else if (kind == DocumentKind::Members) {
-            mesh.publish({kind, revision, encodeMembers(membership.all())});
+            mesh.publish({kind, revision, encodeMembers(membership.registered())});
         }
     }
 
@@ -327,7 +327,8 @@
             // The peers may lose earlier turns when they restart one after the other.
             if (self->mesh.isSubscribedToTurns() && !self->keeper.reader().hasLoadedTurns()) {
                 const Instant readAt = now();
-                const Result<void> loaded = co_await self->keeper.reader().loadTurns();
+                const Result<void> loaded =
+                    co_await self->keeper.reader().loadTurns(self->mesh.liveIncarnations());
                 if (loaded) {
                     self->log.info("Read all journals.", Field("turns", self->state.turns().size()),
                                    Field("after", now() - readAt));
@@ -335,8 +336,9 @@
                     self->log.warning("Cannot read the journals yet.",
                                       Field("reason", loaded.error()));
                 }
-            } else if (self->mesh.isHolder() && !self->keeper.reader().unreadJournals().empty()
-                       && self->keeper.canPersist()) {
+            } else if (self->mesh.isHolder() && self->keeper.canPersist()
+                       && (!self->keeper.reader().unreadJournals().empty()
+                           || self->keeper.reader().isOpenReadDue())) {
                 // Reading early keeps the amount small. A failure is retried in the next round.
                 (void)co_await self->keeper.reader().refresh();
             }
@@ -353,6 +355,7 @@
         while (!self->isStopped) {
             self->mesh.flush();
             self->keeper.coverOvercounted();
+            self->membership.dropUnsubscribed();
             if (self->keeper.storeFailingFor() >= kStoreOutageThreshold) {
                 self->state.noteStoreOutage(now());
             }
--- a/basilhall/gateway/internal/peer_requests.cpp
+++ b/basilhall/gateway/internal/peer_requests.cpp
@@ -37,13 +37,15 @@
 PeerRequests::PeerRequests(FleetState &state, TurnKeeper &keeper, logging::Log log,
                            std::function<bool()> receivesAllTurns,
                            std::function<void()> broadcastChanges,
-                           std::function<JournalMarks()> journalMarks)
+                           std::function<JournalMarks()> journalMarks,
+                           std::function<std::set<Incarnation>()> listedByHolder)
     : m_state(state)
     , m_keeper(keeper)
     , m_log(std::move(log))
     , m_receivesAllTurns(std::move(receivesAllTurns))
     , m_broadcastChanges(std::move(broadcastChanges))
     , m_journalMarks(std::move(journalMarks))
+    , m_listedByHolder(std::move(listedByHolder))
 {
 }
 
@@ -55,7 +57,7 @@
     } else if (stream->method() == kAdmitMethod) {
         reply = co_await admit(stream->request());
     } else if (stream->method() == kTurnMethod) {
-        reply = turn(stream->request());
+        reply = co_await turn(stream->request());
     } else if (stream->method() == kLedgerMethod && m_keeper.knowsLedger()) {
         reply = ledger();
     } else if (stream->method() == kLedgerMethod) {
@@ -144,25 +146,32 @@
     co_return reply.SerializeAsString();
 }
 
-std::string PeerRequests::turn(const std::string &request) const
+asio::awaitable<std::string> PeerRequests::turn(std::string request)
 {
     wire::TurnRequest message;
     if (!message.ParseFromString(request)) {
-        return {};
+        co_return std::string();
     }
+    const turns::TurnId id(message.turn_id());
     wire::TurnReply reply;
-    reply.set_complete(m_keeper.reader().knowsAllTurns() && m_receivesAllTurns());
     reply.set_incarnation(m_state.self().value());
-    const turns::TurnId id(message.turn_id());
+    if (!m_state.turns().hasWholeChain(id)) {
+        const bool isComplete =
+            m_receivesAllTurns() && co_await m_keeper.reader().confirmAllTurns();
+        // The members may have changed meanwhile. A turn of which only a part of the chain is known
+        // exists.
+        reply.set_complete(isComplete && m_receivesAllTurns() && !m_state.turns().contains(id));
+    }
     if (m_state.turns().hasWholeChain(id)) {
         for (const turns::KeptTurn &kept : m_state.turns().chain(id)) {
             *reply.add_turns() = toRecord(kept);
         }
-    } else if (m_state.turns().contains(id)) {
-        // The turn exists, but earlier turns of its chain have not been read yet.
-        reply.set_complete(false);
+        co_return reply.SerializeAsString();
     }
-    return reply.SerializeAsString();
+    for (const Incarnation &member : m_listedByHolder()) {
+        reply.add_members(member.value());
+    }
+    co_return reply.SerializeAsString();
 }
 
 std::string PeerRequests::ledger() const
--- a/basilhall/gateway/internal/peer_requests.h
+++ b/basilhall/gateway/internal/peer_requests.h
@@ -1,6 +1,7 @@
 // Answers the requests of peers: to keep records, to admit a turn, to send a turn or the ledger.
 //
-//     PeerRequests requests(state, keeper, log, receivesAllTurns, broadcastChanges, journalMarks);
+//     PeerRequests requests(state, keeper, log, receivesAllTurns, broadcastChanges, journalMarks,
+//                           listedByHolder);
 //     co_await requests.serve(stream);
 #pragma once
 
@@ -12,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace basilhall::transport
@@ -37,10 +39,12 @@
 
     // `receivesAllTurns` returns true if this process receives every turn that any gateway keeps;
     // `broadcastChanges` sends pending changes to all peers immediately; `journalMarks` returns the
-    // last known batch of each journal.
+    // last known batch of each journal; `listedByHolder` returns the incarnations of all members,
+    // or none if this gateway is no holder.
     PeerRequests(FleetState &state, TurnKeeper &keeper, logging::Log log,
                  std::function<bool()> receivesAllTurns, std::function<void()> broadcastChanges,
-                 std::function<JournalMarks()> journalMarks);
+                 std::function<JournalMarks()> journalMarks,
+                 std::function<std::set<Incarnation>()> listedByHolder);
 
     // Answers one request. Drops malformed and unknown requests with a log line.
     boost::asio::awaitable<void> serve(std::shared_ptr<transport::ServerStream> stream);
@@ -48,7 +52,7 @@
 private:
     boost::asio::awaitable<std::string> keep(std::string request);
     boost::asio::awaitable<std::string> admit(std::string request);
-    std::string turn(const std::string &request) const;
+    boost::asio::awaitable<std::string> turn(std::string request);
     std::string ledger() const;
 
     FleetState &m_state;
@@ -57,6 +61,7 @@
     std::function<bool()> m_receivesAllTurns;
     std::function<void()> m_broadcastChanges;
     std::function<JournalMarks()> m_journalMarks;
+    std::function<std::set<Incarnation>()> m_listedByHolder;
 };
 
 } // namespace basilhall::gateway
--- a/basilhall/gateway/journal_reader.cpp
+++ b/basilhall/gateway/journal_reader.cpp
@@ -25,6 +25,12 @@
 // Maximum number of batches of one journal that are read concurrently. At most 2 s of batches, 25 a
 // second, follow the last ledger.
 constexpr std::size_t kReadWindow = 8;
+// Time for which the journal of an unlisted gateway stays open. A host that returns later has been
+// replaced; each open journal costs one read for each search of an unknown turn.
+constexpr Duration kOpenJournalTime = std::chrono::minutes(10);
+// Interval at which open journals are read in any case; their writers keep batches for four times
+// as long.
+constexpr Duration kOpenJournalInterval = std::chrono::seconds(30);
 
 } // namespace
 
@@ -40,6 +46,8 @@
     {
     }
 
+    using Notes = std::map<Incarnation, std::uint64_t>;
+
     static Instant now() { return MonotonicClock().now(); }
 
     asio::awaitable<store::Outcome> execute(store::Request request)
@@ -89,8 +97,10 @@
                                                 fromRecord(record.program_spend()), now());
             }
         }
-        cleaner.onBatch(Incarnation(batch.value().incarnation()), batch.value().number(),
-                        std::move(content));
+        const Incarnation incarnation(batch.value().incarnation());
+        std::uint64_t &last = lastRead[incarnation];
+        last = std::max<std::uint64_t>(last, batch.value().number());
+        cleaner.onBatch(incarnation, batch.value().number(), std::move(content));
     }
 
     // Reads the ledgers of all incarnations. Each states the last batch that it includes.
@@ -150,6 +160,7 @@
         const auto last = self->lastRead.emplace(incarnation, lastKnown).first;
         last->second = std::max(last->second, lastKnown);
         lastKnown = last->second;
+        journal::BatchNumber lastSeen = lastKnown;
         std::size_t window = 1;
         while (true) {
             std::vector<store::Request> requests;
@@ -166,15 +177,17 @@
                 for (const store::Object &object : outcome.value()) {
                     self->addBatch(object);
                 }
-                ++last->second;
+                last->second = std::max(last->second, ++lastSeen);
             }
             window = std::min(window * 2, kReadWindow);
         }
     }
 
-    static asio::awaitable<Result<void>> readAll(std::shared_ptr<Private> self)
+    static asio::awaitable<Result<void>> readAll(std::shared_ptr<Private> self,
+                                                 std::set<Incarnation> members)
     {
         const auto unread = self->unreadJournals;
+        const auto notes = self->notes;
         self->hasStartedLoadingTurns = true;
         const auto snapshots = co_await readLedgers(self);
         if (!snapshots) {
@@ -185,29 +198,55 @@
         if (!done) {
             co_return done;
         }
+        for (const LedgerSnapshot &snapshot : snapshots.value()) {
+            if (!members.contains(snapshot.incarnation)) {
+                self->openJournals.try_emplace(snapshot.incarnation, now());
+            }
+        }
         self->hasLoadedTurns = true;
         for (const auto &[peer, lastKnown] : unread) {
-            self->unreadJournals.erase(peer);
-            self->unreadSpending.erase(peer);
+            self->onRead(peer, notes);
         }
         co_return success();
     }
 
-    // Reads the unknown batches of all unread journals.
+    // Handles that a journal was read to its end, unless it was noted again since the read began.
+    void onRead(const Incarnation &peer, const Notes &notesBefore)
+    {
+        const auto before = notesBefore.find(peer);
+        if (before != notesBefore.end() && before->second == notes[peer]) {
+            unreadJournals.erase(peer);
+            unreadSpending.erase(peer);
+        }
+    }
+
+    // Reads the unknown batches of all unread and open journals.
     static asio::awaitable<Result<void>> readUnreadJournals(std::shared_ptr<Private> self)
     {
-        const auto unread = self->unreadJournals;
-        for (const auto &[peer, lastKnown] : unread) {
+        const Instant startedAt = now();
+        std::erase_if(self->openJournals, [startedAt](const auto &entry) {
+            return startedAt - entry.second > kOpenJournalTime;
+        });
+        const auto notes = self->notes;
+        auto journals = self->unreadJournals;
+        for (const auto &[peer, since] : self->openJournals) {
+            journals.try_emplace(peer, 0);
+        }
+        for (const auto &[peer, lastKnown] : journals) {
+            const journal::BatchNumber before = std::max(self->lastRead[peer], lastKnown);
             const Result<void> done = co_await readJournal(self, peer, lastKnown);
             if (!done) {
                 co_return done;
             }
-            self->log.info("Read the journal of a gateway to its end.", Field("incarnation", peer),
-                           Field("after_batch", lastKnown),
-                           Field("last_batch", self->lastRead[peer]));
-            self->unreadJournals.erase(peer);
-            self->unreadSpending.erase(peer);
+            if (self->lastRead[peer] > before || self->unreadJournals.contains(peer)) {
+                self->log.info("Read the journal of a gateway to its end.",
+                               Field("incarnation", peer), Field("after_batch", before),
+                               Field("last_batch", self->lastRead[peer]),
+                               Field("open", self->openJournals.contains(peer)));
+            }
+            self->onRead(peer, notes);
         }
+        self->openReadAt = startedAt;
         co_return success();
     }
 
@@ -238,6 +277,12 @@
     JournalCleaner cleaner{state.turns()};
     // Journals that may contain unknown batches, and the last known batch of each.
     std::map<Incarnation, journal::BatchNumber> unreadJournals;
+    // How often each journal was noted as unread.
+    Notes notes;
+    // Journals of gateways that are no members but may still run, and since when.
+    std::map<Incarnation, Instant> openJournals;
+    // Start of the last read of all open journals.
+    Instant openReadAt = now();
     // Last batch of each journal that was read by name, or the last known batch before that.
     std::map<Incarnation, journal::BatchNumber> lastRead;
     // The unread journals that may contain unknown spending: their writers are lost, or were
@@ -279,10 +324,10 @@
     co_return success();
 }
 
-asio::awaitable<Result<void>> JournalReader::loadTurns()
+asio::awaitable<Result<void>> JournalReader::loadTurns(std::set<Incarnation> members)
 {
     const auto self = d;
-    co_return co_await Private::readAll(self);
+    co_return co_await Private::readAll(self, std::move(members));
 }
 
 asio::awaitable<Result<void>> JournalReader::refresh()
@@ -291,6 +336,44 @@
     co_return co_await Private::refresh(self);
 }
 
+asio::awaitable<bool> JournalReader::confirmAllTurns()
+{
+    const auto self = d;
+    if (!self->hasLoadedTurns) {
+        co_return false;
+    }
+    if (!self->unreadJournals.empty() || !self->openJournals.empty()) {
+        const Result<void> read = co_await Private::refresh(self);
+        if (!read) {
+            co_return false;
+        }
+    }
+    co_return self->hasLoadedTurns && self->unreadJournals.empty();
+}
+
+void JournalReader::noteUnlisted(const Incarnation &peer, std::uint64_t lastKnown)
+{
+    noteMissedTurns(peer, lastKnown);
+    d->openJournals.try_emplace(peer, Private::now());
+}
+
+void JournalReader::noteListed(const Incarnation &peer)
+{
+    d->openJournals.erase(peer);
+}
+
+void JournalReader::noteEnded(const Incarnation &peer)
+{
+    if (d->openJournals.erase(peer) > 0) {
+        noteMissedTurns(peer, 0);
+    }
+}
+
+bool JournalReader::isOpenReadDue() const
+{
+    return !d->openJournals.empty() && Private::now() - d->openReadAt > kOpenJournalInterval;
+}
+
 void JournalReader::noteLostPeer(const Incarnation &peer, std::uint64_t lastKnown)
 {
     noteMissedTurns(peer, lastKnown);
@@ -310,6 +393,7 @@
     }
     const auto [at, isNew] = d->unreadJournals.emplace(peer, lastKnown);
     at->second = std::min(at->second, lastKnown);
+    ++d->notes[peer];
 }
 
 const std::map<Incarnation, std::uint64_t> &JournalReader::unreadJournals() const
@@ -331,11 +415,7 @@
 {
     d->hasLoadedTurns = false;
     d->hasStartedLoadingTurns = false;
-}
-
-bool JournalReader::knowsAllTurns() const
-{
-    return d->hasLoadedTurns && d->unreadJournals.empty();
+    d->openJournals.clear();
 }
 
 std::vector<store::ObjectKey>
--- a/basilhall/gateway/journal_reader.h
+++ b/basilhall/gateway/journal_reader.h
@@ -36,10 +36,15 @@
 
     // Reads the spending of all gateways: their ledgers, and the journal batches after these.
     boost::asio::awaitable<Result<void>> loadLedgers();
-    // Reads all journals completely.
-    boost::asio::awaitable<Result<void>> loadTurns();
-    // Reads the unread batches of the journals in unreadJournals(). The read starts after the call.
+    // Reads all journals completely. The writers in `members` will send later turns; the other
+    // journals become open.
+    boost::asio::awaitable<Result<void>> loadTurns(std::set<Incarnation> members = {});
+    // Reads the unread batches of the unread and of the open journals. The read starts after the
+    // call.
     boost::asio::awaitable<Result<void>> refresh();
+    // Returns true if all turns that were durable before the call are known. Reads the unread and
+    // the open journals for this; false if that is not possible, or before loadTurns().
+    boost::asio::awaitable<bool> confirmAllTurns();
 
     // Records the loss of a peer whose updates cover its journal up to the batch `lastKnown`.
     // Batches read individually count as known, too.
@@ -47,6 +52,16 @@
     // The same for a peer that is still alive: its updates cover its spending, but turns may have
     // been missed.
     void noteMissedTurns(const Incarnation &peer, std::uint64_t lastKnown);
+    // Records that a gateway is no longer a member, but may still run and write its journal. The
+    // journal becomes open: it is never read to its end for good.
+    void noteUnlisted(const Incarnation &peer, std::uint64_t lastKnown);
+    // Records that an unlisted gateway is a member again and sends its turns.
+    void noteListed(const Incarnation &peer);
+    // Records that the process of an unlisted gateway has ended: its journal is read once more.
+    void noteEnded(const Incarnation &peer);
+    // True if the open journals have to be read before their writers remove expired batches, behind
+    // which the reader would not find the next ones.
+    bool isOpenReadDue() const;
     // True if a journal may contain unknown spending. This gateway must not become the home of a
     // program then.
     bool mayMissSpending() const;
@@ -58,9 +73,6 @@
     bool hasStartedLoadingTurns() const;
     // Requires another loadTurns(), because turns have been or will be missed.
     void requireReload();
-    // True if all journals have been read, including those of peers that were lost since.
-    bool knowsAllTurns() const;
-
     // Returns at most `limit` objects of journals that are no longer needed; see JournalCleaner.
     std::vector<store::ObjectKey> expired(WallMillis now, const std::set<Incarnation> &live,
                                           std::size_t limit);
--- a/basilhall/gateway/membership.cpp
+++ b/basilhall/gateway/membership.cpp
@@ -2,6 +2,7 @@
 
 #include "basilhall/base/monotonic_clock.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <set>
@@ -27,6 +28,11 @@
 class Membership::Private : public std::enable_shared_from_this<Membership::Private>
 {
 public:
+    struct Subscription {
+        Member member;
+        Instant at;
+    };
+
     Private(const asio::any_io_executor &executor, Member s, StoreAccess a, PeerMesh &m,
             logging::Log l)
         : self(std::move(s))
@@ -92,23 +98,57 @@
         });
     }
 
+    // Returns the registered gateways and those that are known only by their subscription. A
+    // subscription is newer than the registration of the host.
+    std::map<HostName, Member> members() const
+    {
+        std::map<HostName, Member> all = registered;
+        for (const auto &[host, subscription] : subscribed) {
+            all.insert_or_assign(host, subscription.member);
+        }
+        return all;
+    }
+
     void updateMesh()
     {
+        std::erase_if(subscribed, [this](const auto &entry) { return isObsolete(entry.second); });
         std::vector<Member> others;
-        for (const auto &[host, member] : members) {
+        for (const auto &[host, member] : members()) {
             others.push_back(member);
         }
         mesh.setMembers(others);
     }
 
+    bool isObsolete(const Subscription &subscription) const
+    {
+        const Member &member = subscription.member;
+        const auto known = registered.find(member.host);
+        return (known != registered.end() && known->second == member)
+            || (!isRecent(subscription) && !mesh.hasSubscriber(member.incarnation));
+    }
+
+    static bool isRecent(const Subscription &subscription)
+    {
+        return MonotonicClock().now() - subscription.at <= kRegistrationDelay;
+    }
+
+    // Keeps a gateway that is no longer registered, but still subscribed, among the members.
+    void keepIfSubscribed(const Member &member)
+    {
+        if (member.host != self.host && mesh.hasSubscriber(member.incarnation)) {
+            const Instant at = MonotonicClock().now() - kRegistrationDelay;
+            subscribed.try_emplace(member.host, Subscription{member, at});
+        }
+    }
+
     const Member self;
     StoreAccess access;
     PeerMesh &mesh;
     logging::Log log;
     asio::steady_timer timer;
-    std::map<HostName, Member> members;
-    // When each gateway that is known only by its subscription subscribed.
-    std::map<HostName, Instant> subscribedAt;
+    std::map<HostName, Member> registered;
+    // Gateways whose subscription is newer than the registration of their host.
+    std::map<HostName, Subscription> subscribed;
     std::set<HostName> pendingRemovals;
     // The registration of this process has been in a list.
     bool wasListed = false;
@@ -142,23 +182,27 @@
 
 void Membership::setAll(const std::vector<Member> &members)
 {
-    const Instant now = MonotonicClock().now();
-    std::erase_if(d->subscribedAt,
-                  [now](const auto &entry) { return now - entry.second > kRegistrationDelay; });
     std::map<HostName, Member> listed;
-    for (const auto &[host, at] : d->subscribedAt) {
-        const auto known = d->members.find(host);
-        if (known != d->members.end()) {
-            listed.emplace(host, known->second);
-        }
-    }
     for (const Member &member : members) {
         listed.emplace(member.host, member);
     }
-    d->members = std::move(listed);
+    for (const auto &[host, member] : d->registered) {
+        if (!listed.contains(host)) {
+            d->keepIfSubscribed(member);
+        }
+    }
+    std::erase_if(d->subscribed, [&](const auto &entry) {
+        // A registration that has changed since is that of a later process on the host. The list
+        // may be older than a recent subscription.
+        const auto now = listed.find(entry.first);
+        const auto before = d->registered.find(entry.first);
+        return now != listed.end() && !Private::isRecent(entry.second)
+            && (before == d->registered.end() || before->second != now->second);
+    });
+    d->registered = std::move(listed);
     d->updateMesh();
-    const auto own = d->members.find(d->self.host);
-    if (own != d->members.end()) {
+    const auto own = d->registered.find(d->self.host);
+    if (own != d->registered.end()) {
         d->wasListed = d->wasListed || own->second == d->self;
     } else if (std::exchange(d->wasListed, false) && !d->hasLeft) {
         // A peer removed the registration because it considered this host lost.
@@ -168,23 +212,26 @@
 
 void Membership::set(const Member &member)
 {
-    d->members.insert_or_assign(member.host, member);
+    d->subscribed.erase(member.host);
+    d->registered.insert_or_assign(member.host, member);
     d->updateMesh();
 }
 
 void Membership::onSubscribed(const Member &member)
 {
-    const auto known = d->members.find(member.host);
-    if (known == d->members.end() || known->second != member) {
-        d->subscribedAt[member.host] = MonotonicClock().now();
-        set(member);
+    const std::map<HostName, Member> members = d->members();
+    const auto known = members.find(member.host);
+    if (known == members.end() || known->second != member) {
+        d->subscribed.insert_or_assign(member.host,
+                                       Private::Subscription{member, MonotonicClock().now()});
+        d->updateMesh();
     }
 }
 
-std::vector<Member> Membership::all() const
+std::vector<Member> Membership::registered() const
 {
     std::vector<Member> members;
-    for (const auto &[host, member] : d->members) {
+    for (const auto &[host, member] : d->registered) {
         members.push_back(member);
     }
     return members;
@@ -192,7 +239,11 @@
 
 void Membership::remove(const HostName &host)
 {
-    d->members.erase(host);
+    const auto known = d->registered.find(host);
+    if (known != d->registered.end()) {
+        d->keepIfSubscribed(known->second);
+        d->registered.erase(known);
+    }
     d->updateMesh();
     if (host == d->self.host && !d->hasLeft) {
         // A peer removed the registration because it considered this host lost.
@@ -200,10 +251,20 @@
     }
 }
 
+void Membership::dropUnsubscribed()
+{
+    const bool isAnyObsolete =
+        std::any_of(d->subscribed.begin(), d->subscribed.end(),
+                    [this](const auto &entry) { return d->isObsolete(entry.second); });
+    if (isAnyObsolete) {
+        d->updateMesh();
+    }
+}
+
 void Membership::removeSilentMembers()
 {
     for (const HostName &host : d->mesh.silentMembers(kSilenceLimit)) {
-        if (!d->pendingRemovals.insert(host).second) {
+        if (!d->registered.contains(host) || !d->pendingRemovals.insert(host).second) {
             continue;
         }
         d->log.warning("Removing the registration of a silent peer.", Field("peer", host));
--- a/basilhall/gateway/membership.h
+++ b/basilhall/gateway/membership.h
@@ -34,14 +34,18 @@
     // Removes the registration of this gateway; calls `done` once, also on failure.
     void leave(std::function<void()> done);
 
-    // Apply registrations from the object API. A list may be older than a recent subscription of a
-    // gateway, which then stays a member.
+    // Apply registrations from the object API. A gateway that is subscribed to this one stays a
+    // member without a registration: it runs, although it cannot register or was silent. A list may
+    // be older than a recent subscription.
     void setAll(const std::vector<Member> &members);
     void set(const Member &member);
     // Applies the registration that a peer sent with its subscription.
     void onSubscribed(const Member &member);
     void remove(const HostName &host);
-    std::vector<Member> all() const;
+    // Drops members without a registration whose subscription has ended; call it periodically.
+    void dropUnsubscribed();
+    // Returns the registered gateways.
+    std::vector<Member> registered() const;
 
     // Removes the registrations of gateways that have sent no updates for kSilenceLimit.
     void removeSilentMembers();
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -21,6 +21,7 @@
 #include <deque>
 #include <map>
 #include <random>
+#include <set>
 #include <unordered_set>
 
 namespace basilhall::gateway
@@ -150,7 +151,8 @@
         , onMember(std::move(memberHandler))
         , requests(
               st, k, log, [this] { return receivesAllTurns(); }, [this] { flush(); },
-              [this] { return journalMarks(); })
+              [this] { return journalMarks(); },
+              [this] { return isHolder ? liveIncarnations() : std::set<Incarnation>(); })
         , client(e, kKeepAlive)
         , exchange(self.failureDomain)
         , random(std::hash<std::string>()(self.incarnation.value()))
@@ -374,7 +376,17 @@
         });
     }
 
-    // True if this gateway receives every turn that any gateway keeps.
+    // Returns the incarnations of all members, including this one.
+    std::set<Incarnation> liveIncarnations() const
+    {
+        std::set<Incarnation> live{self.incarnation};
+        for (const auto &[host, peer] : peers) {
+            live.insert(peer->member.incarnation);
+        }
+        return live;
+    }
+
+    // True if this gateway receives every turn that any member keeps.
     bool receivesAllTurns() const
     {
         return isHolder && std::all_of(peers.begin(), peers.end(), [](const auto &entry) {
@@ -647,6 +659,40 @@
                    });
     }
 
+    // Handles that a gateway is no longer a member. Without a successor on its host, it may still
+    // run: it was only silent, or could not register.
+    void onDropped(const Peer &lost, bool isReplaced)
+    {
+        log.info("A gateway is no longer a member.", Field("peer", lost.member.host),
+                 Field("incarnation", lost.member.incarnation), Field("replaced", isReplaced),
+                 Field("connected", lost.isConnected),
+                 Field("silent", now() - std::max(lost.lastUpdateAt, lost.listedAt)));
+        const bool isStale =
+            lost.lastUpdateAt == Instant::min() && now() - lost.listedAt < kStaleRegistrationAge;
+        if (!isStale) {
+            recordLostPeer(lost);
+        }
+        if (!isReplaced && isHolder) {
+            keeper.reader().noteUnlisted(lost.member.incarnation, lost.durableBatch);
+            unlisted[lost.member.host].insert(lost.member.incarnation);
+        }
+    }
+
+    // A host runs one process at a time, so its earlier ones have ended.
+    void closeJournalsOfPredecessors(const Member &member)
+    {
+        const auto found = unlisted.find(member.host);
+        if (found == unlisted.end()) {
+            return;
+        }
+        for (const Incarnation &earlier : found->second) {
+            if (earlier != member.incarnation) {
+                keeper.reader().noteEnded(earlier);
+            }
+        }
+        unlisted.erase(found);
+    }
+
     // Records that turns of a live peer were missed. The peer sends its spending, but from `since`
     // on sent its turns to other gateways only. `batch` is the last known batch of its own journal.
     void noteMissedTurns(const Peer &missed, std::uint64_t batch, Instant since)
@@ -715,6 +761,7 @@
                     // Turns that were announced before the connection were missed.
                     self->noteMissedTurns(*peer, update.durable_batch(), silentSince(*peer));
                 }
+                self->keeper.reader().noteListed(peer->member.incarnation);
                 self->log.info("Connected to a peer.", Field("peer", peer->member.host),
                                Field("incarnation", peer->member.incarnation));
             }
@@ -786,6 +833,8 @@
     transport::StreamClient client;
     std::unique_ptr<transport::StreamServer> server;
     std::map<HostName, std::shared_ptr<Peer>> peers;
+    // Gateways of each host that were members and may still run.
+    std::map<HostName, std::set<Incarnation>> unlisted;
     std::unordered_set<std::shared_ptr<Subscriber>> subscribers;
     std::map<DocumentKind, Document> documents;
     DocumentExchange exchange;
@@ -836,18 +885,14 @@
         const auto still = kept.find(host);
         peer->isDropped = still == kept.end() || still->second != peer;
         if (peer->isDropped) {
-            d->log.info(
-                "A gateway is no longer a member.", Field("peer", host),
-                Field("incarnation", peer->member.incarnation),
-                Field("replaced", still != kept.end()), Field("connected", peer->isConnected),
-                Field("silent", Private::now() - std::max(peer->lastUpdateAt, peer->listedAt)));
-            const bool isStale = peer->lastUpdateAt == Instant::min()
-                && Private::now() - peer->listedAt < kStaleRegistrationAge;
-            if (!isStale) {
-                d->recordLostPeer(*peer);
-            }
+            const bool isReplaced = still != kept.end()
+                && still->second->member.incarnation != peer->member.incarnation;
+            d->onDropped(*peer, isReplaced);
         }
     }
+    for (const auto &[host, peer] : kept) {
+        d->closeJournalsOfPredecessors(peer->member);
+    }
     d->peers = std::move(kept);
 }
 
@@ -897,11 +942,15 @@
 
 std::set<Incarnation> PeerMesh::liveIncarnations() const
 {
-    std::set<Incarnation> live{d->self.incarnation};
-    for (const auto &[host, peer] : d->peers) {
-        live.insert(peer->member.incarnation);
-    }
-    return live;
+    return d->liveIncarnations();
+}
+
+bool PeerMesh::hasSubscriber(const Incarnation &incarnation) const
+{
+    return std::any_of(
+        d->subscribers.begin(), d->subscribers.end(), [&incarnation](const auto &subscriber) {
+            return subscriber->incarnation == incarnation && !subscriber->isCancelled;
+        });
 }
 
 std::size_t PeerMesh::reachableCount() const
@@ -980,8 +1029,10 @@
     const std::string bytes = request.SerializeAsString();
     const std::vector<std::shared_ptr<Peer>> asked = self->peersHoldersFirst();
     bool haveAllReplied = true;
-    bool isAnyComplete = self->keeper.reader().knowsAllTurns() && self->receivesAllTurns();
-    HostName completeHost = self->self.host;
+    bool isAnyComplete = false;
+    HostName completeHost;
+    std::set<Incarnation> replied{self->self.incarnation};
+    std::set<Incarnation> listed;
     for (const auto &peer : asked) {
         std::optional<std::string> message;
         if (peer->isConnected) {
@@ -999,6 +1050,10 @@
             isAnyComplete = true;
             completeHost = peer->member.host;
         }
+        replied.insert(peer->member.incarnation);
+        for (const std::string &member : reply.members()) {
+            listed.insert(Incarnation(member));
+        }
         for (const journal::TurnKept &turn : reply.turns()) {
             self->keeper.addTurn(turn);
         }
@@ -1009,6 +1064,16 @@
     if (!haveAllReplied) {
         co_return TurnSearch::Incomplete;
     }
+    if (!std::includes(replied.begin(), replied.end(), listed.begin(), listed.end())) {
+        self->log.info("A holder lists gateways that were not asked for a turn.", Field("turn", id),
+                       Field("asked", asked.size()), Field("listed", listed.size()));
+        co_return TurnSearch::Incomplete;
+    }
+    if (!isAnyComplete && self->receivesAllTurns()) {
+        isAnyComplete =
+            co_await self->keeper.reader().confirmAllTurns() && self->receivesAllTurns();
+        completeHost = self->self.host;
+    }
     self->log.info("No peer knows the turn.", Field("turn", id), Field("asked", asked.size()),
                    Field("complete", isAnyComplete), Field("holder", completeHost),
                    Field("members", self->peers.size() + 1));
--- a/basilhall/gateway/peer_mesh.h
+++ b/basilhall/gateway/peer_mesh.h
@@ -58,6 +58,8 @@
     std::size_t holderCount() const;
     // Number of holders whose host name is sorted before that of this gateway.
     std::size_t holderRank() const;
+    // True if the gateway receives the updates of this one.
+    bool hasSubscriber(const Incarnation &incarnation) const;
     // Number of other members whose updates arrive in time.
     std::size_t reachableCount() const;
     // Returns the incarnations of all members, including this one.
--- a/basilhall/gateway/peer_mesh_test.cpp
+++ b/basilhall/gateway/peer_mesh_test.cpp
@@ -165,10 +165,14 @@
     });
     const auto sure = prompt(*weak, "none");
     BOOST_TEST((!sure && sure.error().kind() == ErrorKind::NotFound));
-    // Turns of a gateway that has joined since may exist only in a journal.
+    // Turns of a gateway that is no longer a member may exist only in its journal.
     strong->mesh.setMembers({weak->mesh.member()});
+    strong->isCutFromStore = true;
     const auto unsure = prompt(*weak, "none");
     BOOST_TEST((!unsure && unsure.error().kind() == ErrorKind::Unavailable));
+    strong->isCutFromStore = false;
+    const auto sureAgain = prompt(*weak, "none");
+    BOOST_TEST((!sureAgain && sureAgain.error().kind() == ErrorKind::NotFound));
 }
 
 // A home is lost before it sent its last admissions to its peers; they exist only in its journal.
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -497,6 +497,11 @@
                                                   fromRecord(record.program_spend()),
                                                   Private::now());
         } else if (record.has_turn_kept()) {
+            const turns::TurnId id(record.turn_kept().turn_id());
+            if (self->announce && !self->state.turns().contains(id)) {
+                // The peer did not announce it here: other holders may not list the peer either.
+                self->announce(record.turn_kept());
+            }
             self->state.turns().add(fromRecord(record.turn_kept()));
         }
     }
