Journals of gateways that left: closed only on proof of the end, searched from memory first

Now only an update received from a later process on the host closes it. Ledgers name their host, so that after a restart of all the journals of the earlier processes do not stay open. - A writer passed a turn on only if it did not know it itself; a writer that lists the gateway always knows it. Now the record says which holders received the turn, and the writer sends it to its others. In a connected fleet nothing is sent twice. - The ledger of a dropped gateway could be removed within a second, and its owner then never wrote one again (no test). - A gateway that does not receive all turns removed its batches though later turns may extend them (no test: the retention of spending hides it for two minutes). - A search asked each holder to read the store before the owner of the turn was asked from memory, which costs up to 400 ms a holder while the store is slow. Now all are asked from memory first, and a holder reads journals only then. Found turns are returned even if another peer did not reply.

--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -93,7 +93,7 @@
         , decode(std::move(d))
         , log(logs.log("gateway"))
         , state(incarnation, settings.failureDomain)
-        , keeper(e, access, state, logs.log("turns"), registry)
+        , keeper(e, access, settings.host, state, logs.log("turns"), registry)
         , callLog(logs.log("call"), registry)
         , mesh(
               e, memberOf(settings, incarnation), state, keeper, logs.log("peers"),
@@ -327,8 +327,8 @@
             // The peers may lose earlier turns when they restart one after the other.
             if (self->mesh.isSubscribedToTurns() && !self->keeper.reader().hasLoadedTurns()) {
                 const Instant readAt = now();
-                const Result<void> loaded =
-                    co_await self->keeper.reader().loadTurns(self->mesh.liveIncarnations());
+                const Result<void> loaded = co_await self->keeper.reader().loadTurns(
+                    [self] { return self->mesh.runningGateways(); });
                 if (loaded) {
                     self->log.info("Read all journals.", Field("turns", self->state.turns().size()),
                                    Field("after", now() - readAt));
@@ -371,7 +371,9 @@
             }
             if (now() >= nextHousekeeping) {
                 nextHousekeeping = now() + kHousekeepingInterval;
-                self->keeper.expire(self->mesh.isHolder() && self->mesh.holderRank() == 0
+                self->keeper.expire(self->mesh.receivesAllTurns()
+                                        && self->keeper.reader().hasLoadedTurns(),
+                                    self->mesh.isHolder() && self->mesh.holderRank() == 0
                                         ? std::optional(self->mesh.liveIncarnations())
                                         : std::nullopt);
                 self->membership.removeSilentMembers();
--- a/basilhall/gateway/internal/peer_requests.cpp
+++ b/basilhall/gateway/internal/peer_requests.cpp
@@ -38,7 +38,8 @@
                            std::function<bool()> receivesAllTurns,
                            std::function<void()> broadcastChanges,
                            std::function<JournalMarks()> journalMarks,
-                           std::function<std::set<Incarnation>()> listedByHolder)
+                           std::function<std::set<Incarnation>()> listedByHolder,
+                           ForwardTurn forwardTurn)
     : m_state(state)
     , m_keeper(keeper)
     , m_log(std::move(log))
@@ -46,6 +47,7 @@
     , m_broadcastChanges(std::move(broadcastChanges))
     , m_journalMarks(std::move(journalMarks))
     , m_listedByHolder(std::move(listedByHolder))
+    , m_forwardTurn(std::move(forwardTurn))
 {
 }
 
@@ -79,6 +81,14 @@
     if (!message.ParseFromString(request)) {
         co_return std::string();
     }
+    const std::set<Incarnation> announcedTo(message.announced_to().begin(),
+                                            message.announced_to().end());
+    for (const journal::Record &record : message.records()) {
+        if (record.has_turn_kept()) {
+            // The peer may not be a member of some holders, which then did not receive the turn.
+            m_forwardTurn(record.turn_kept(), announcedTo);
+        }
+    }
     std::vector<journal::Record> records(message.records().begin(), message.records().end());
     const Result<void> kept = co_await m_keeper.keepForPeer(std::move(records), kKeepTimeout);
     wire::KeepReply reply;
@@ -156,8 +166,9 @@
     wire::TurnReply reply;
     reply.set_incarnation(m_state.self().value());
     if (!m_state.turns().hasWholeChain(id)) {
+        JournalReader &reader = m_keeper.reader();
         const bool isComplete =
-            m_receivesAllTurns() && co_await m_keeper.reader().confirmAllTurns();
+            message.confirm() ? co_await reader.confirmAllTurns() : reader.knowsAllTurns();
         // The members may have changed meanwhile. A turn of which only a part of the chain is known
         // exists.
         reply.set_complete(isComplete && m_receivesAllTurns() && !m_state.turns().contains(id));
--- a/basilhall/gateway/internal/peer_requests.h
+++ b/basilhall/gateway/internal/peer_requests.h
@@ -1,7 +1,7 @@
 // Answers the requests of peers: to keep records, to admit a turn, to send a turn or the ledger.
 //
 //     PeerRequests requests(state, keeper, log, receivesAllTurns, broadcastChanges, journalMarks,
-//                           listedByHolder);
+//                           listedByHolder, forwardTurn);
 //     co_await requests.serve(stream);
 #pragma once
 
@@ -35,16 +35,19 @@
 {
 public:
     // Journals and the last known batch of each.
+    using ForwardTurn =
+        std::function<void(const journal::TurnKept &, const std::set<Incarnation> &)>;
     using JournalMarks = std::map<Incarnation, std::uint64_t>;
 
     // `receivesAllTurns` returns true if this process receives every turn that any gateway keeps;
     // `broadcastChanges` sends pending changes to all peers immediately; `journalMarks` returns the
     // last known batch of each journal; `listedByHolder` returns the incarnations of all members,
-    // or none if this gateway is no holder.
+    // or none if this gateway is no holder; `forwardTurn` sends a turn to the subscribers that are
+    // not in the set.
     PeerRequests(FleetState &state, TurnKeeper &keeper, logging::Log log,
                  std::function<bool()> receivesAllTurns, std::function<void()> broadcastChanges,
                  std::function<JournalMarks()> journalMarks,
-                 std::function<std::set<Incarnation>()> listedByHolder);
+                 std::function<std::set<Incarnation>()> listedByHolder, ForwardTurn forwardTurn);
 
     // Answers one request. Drops malformed and unknown requests with a log line.
     boost::asio::awaitable<void> serve(std::shared_ptr<transport::ServerStream> stream);
@@ -62,6 +65,7 @@
     std::function<void()> m_broadcastChanges;
     std::function<JournalMarks()> m_journalMarks;
     std::function<std::set<Incarnation>()> m_listedByHolder;
+    ForwardTurn m_forwardTurn;
 };
 
 } // namespace basilhall::gateway
--- a/basilhall/gateway/journal_cleaner.cpp
+++ b/basilhall/gateway/journal_cleaner.cpp
@@ -41,6 +41,14 @@
     entry.lastKeptUntil = std::max(entry.lastKeptUntil, keptUntil);
 }
 
+void JournalCleaner::extendLedger(const Incarnation &writer, WallMillis keptUntil)
+{
+    const auto found = m_journals.find(writer);
+    if (found != m_journals.end()) {
+        found->second.lastKeptUntil = std::max(found->second.lastKeptUntil, keptUntil);
+    }
+}
+
 std::vector<store::ObjectKey>
 JournalCleaner::expired(WallMillis now, const std::set<Incarnation> &live, std::size_t limit)
 {
--- a/basilhall/gateway/journal_cleaner.h
+++ b/basilhall/gateway/journal_cleaner.h
@@ -38,6 +38,8 @@
     void onBatch(const Incarnation &writer, journal::BatchNumber number, BatchContent content);
     // Adds a ledger that is in the store. It is removed after its journal, not before `keptUntil`.
     void onLedger(const Incarnation &writer, WallMillis keptUntil);
+    // Keeps the ledger of the writer until `keptUntil` at least, if it has one.
+    void extendLedger(const Incarnation &writer, WallMillis keptUntil);
     // Returns and forgets at most `limit` objects that are no longer needed; a ledger follows the
     // last batch of its journal. Skips the journals of `live` incarnations, which clean up
     // themselves.
--- a/basilhall/gateway/journal_reader.cpp
+++ b/basilhall/gateway/journal_reader.cpp
@@ -2,6 +2,8 @@
 
 #include "basilhall/base/monotonic_clock.h"
 #include "basilhall/gateway/internal/kept_time.h"
+#include "basilhall/gateway/internal/open_journals.h"
+#include "basilhall/gateway/internal/read_ranges.h"
 #include "basilhall/gateway/journal_cleaner.h"
 #include "basilhall/gateway/ledger_snapshot.h"
 #include "basilhall/gateway/record_codec.h"
@@ -25,9 +27,6 @@
 // Maximum number of batches of one journal that are read concurrently. At most 2 s of batches, 25 a
 // second, follow the last ledger.
 constexpr std::size_t kReadWindow = 8;
-// Time for which the journal of an unlisted gateway stays open. A host that returns later has been
-// replaced; each open journal costs one read for each search of an unknown turn.
-constexpr Duration kOpenJournalTime = std::chrono::minutes(10);
 // Interval at which open journals are read in any case; their writers keep batches for four times
 // as long.
 constexpr Duration kOpenJournalInterval = std::chrono::seconds(30);
@@ -64,26 +63,31 @@
         co_return std::move(**result);
     }
 
-    // Reads the batches that match `list` from the object API.
-    static asio::awaitable<Result<void>> read(std::shared_ptr<Private> self, store::List list)
+    // Reads all batches of all journals.
+    static asio::awaitable<Result<void>> readBatches(std::shared_ptr<Private> self)
     {
-        const store::Outcome outcome = co_await self->execute(std::move(list));
+        store::List all{journal::kJournalKind, ""};
+        const store::Outcome outcome = co_await self->execute(std::move(all));
         if (!outcome) {
             co_return outcome.error();
         }
         for (const store::Object &object : outcome.value()) {
-            self->addBatch(object);
+            if (const auto batch = self->addBatch(object)) {
+                self->ranges.onAllRead(batch->first, batch->second);
+            }
         }
         co_return success();
     }
 
-    void addBatch(const store::Object &object)
+    // Returns the journal and the number of the batch.
+    std::optional<std::pair<Incarnation, journal::BatchNumber>>
+    addBatch(const store::Object &object)
     {
         const Result<journal::Batch> batch = journal::decodeBatch(object.key, object.data);
         if (!batch) {
             log.warning("Skipped a journal batch that cannot be decoded.",
                         Field("reason", batch.error()));
-            return;
+            return std::nullopt;
         }
         BatchContent content{spendingKeptUntil(), {}};
         for (const journal::Record &record : batch.value().records()) {
@@ -98,9 +102,8 @@
             }
         }
         const Incarnation incarnation(batch.value().incarnation());
-        std::uint64_t &last = lastRead[incarnation];
-        last = std::max<std::uint64_t>(last, batch.value().number());
         cleaner.onBatch(incarnation, batch.value().number(), std::move(content));
+        return std::pair(incarnation, batch.value().number());
     }
 
     // Reads the ledgers of all incarnations. Each states the last batch that it includes.
@@ -157,9 +160,7 @@
                                                      Incarnation incarnation,
                                                      journal::BatchNumber lastKnown)
     {
-        const auto last = self->lastRead.emplace(incarnation, lastKnown).first;
-        last->second = std::max(last->second, lastKnown);
-        lastKnown = last->second;
+        lastKnown = self->ranges.begin(incarnation, lastKnown);
         journal::BatchNumber lastSeen = lastKnown;
         std::size_t window = 1;
         while (true) {
@@ -175,16 +176,16 @@
                     co_return isEnd ? Result<void>(success()) : Result<void>(outcome.error());
                 }
                 for (const store::Object &object : outcome.value()) {
-                    self->addBatch(object);
+                    (void)self->addBatch(object);
                 }
-                last->second = std::max(last->second, ++lastSeen);
+                self->ranges.onRead(incarnation, ++lastSeen);
             }
             window = std::min(window * 2, kReadWindow);
         }
     }
 
     static asio::awaitable<Result<void>> readAll(std::shared_ptr<Private> self,
-                                                 std::set<Incarnation> members)
+                                                 RunningGateways running)
     {
         const auto unread = self->unreadJournals;
         const auto notes = self->notes;
@@ -193,15 +194,18 @@
         if (!snapshots) {
             co_return snapshots.error();
         }
-        store::List all{journal::kJournalKind, ""};
-        const Result<void> done = co_await read(self, std::move(all));
+        const Result<void> done = co_await readBatches(self);
         if (!done) {
             co_return done;
         }
         for (const LedgerSnapshot &snapshot : snapshots.value()) {
-            if (!members.contains(snapshot.incarnation)) {
-                self->openJournals.try_emplace(snapshot.incarnation, now());
-            }
+            self->ranges.onAllRead(snapshot.incarnation, snapshot.batch);
+            self->open.add(snapshot.incarnation, {snapshot.host, snapshot.batch, now()});
+        }
+        for (const auto &[host, incarnation] : running()) {
+            // The list was read after the earlier processes on these hosts had ended, or their loss
+            // was noted.
+            (void)self->open.onRunning(host, incarnation);
         }
         self->hasLoadedTurns = true;
         for (const auto &[peer, lastKnown] : unread) {
@@ -224,28 +228,26 @@
     static asio::awaitable<Result<void>> readUnreadJournals(std::shared_ptr<Private> self)
     {
         const Instant startedAt = now();
-        std::erase_if(self->openJournals, [startedAt](const auto &entry) {
-            return startedAt - entry.second > kOpenJournalTime;
-        });
         const auto notes = self->notes;
         auto journals = self->unreadJournals;
-        for (const auto &[peer, since] : self->openJournals) {
-            journals.try_emplace(peer, 0);
+        for (const auto &[peer, journal] : self->open.journals()) {
+            journals.try_emplace(peer, journal.lastKnown);
         }
         for (const auto &[peer, lastKnown] : journals) {
-            const journal::BatchNumber before = std::max(self->lastRead[peer], lastKnown);
+            const journal::BatchNumber before = self->ranges.continueAfter(peer, lastKnown);
             const Result<void> done = co_await readJournal(self, peer, lastKnown);
             if (!done) {
                 co_return done;
             }
-            if (self->lastRead[peer] > before || self->unreadJournals.contains(peer)) {
+            const journal::BatchNumber last = self->ranges.last(peer);
+            if (last > before || self->unreadJournals.contains(peer)) {
                 self->log.info("Read the journal of a gateway to its end.",
                                Field("incarnation", peer), Field("after_batch", before),
-                               Field("last_batch", self->lastRead[peer]),
-                               Field("open", self->openJournals.contains(peer)));
+                               Field("last_batch", last), Field("open", self->open.contains(peer)));
             }
             self->onRead(peer, notes);
         }
+        self->open.expire(startedAt);
         self->openReadAt = startedAt;
         co_return success();
     }
@@ -279,12 +281,10 @@
     std::map<Incarnation, journal::BatchNumber> unreadJournals;
     // How often each journal was noted as unread.
     Notes notes;
-    // Journals of gateways that are no members but may still run, and since when.
-    std::map<Incarnation, Instant> openJournals;
+    OpenJournals open;
     // Start of the last read of all open journals.
     Instant openReadAt = now();
-    // Last batch of each journal that was read by name, or the last known batch before that.
-    std::map<Incarnation, journal::BatchNumber> lastRead;
+    ReadRanges ranges;
     // The unread journals that may contain unknown spending: their writers are lost, or were
     // reported by a peer.
     std::set<Incarnation> unreadSpending;
@@ -324,10 +324,10 @@
     co_return success();
 }
 
-asio::awaitable<Result<void>> JournalReader::loadTurns(std::set<Incarnation> members)
+asio::awaitable<Result<void>> JournalReader::loadTurns(RunningGateways running)
 {
     const auto self = d;
-    co_return co_await Private::readAll(self, std::move(members));
+    co_return co_await Private::readAll(self, std::move(running));
 }
 
 asio::awaitable<Result<void>> JournalReader::refresh()
@@ -342,7 +342,7 @@
     if (!self->hasLoadedTurns) {
         co_return false;
     }
-    if (!self->unreadJournals.empty() || !self->openJournals.empty()) {
+    if (!self->unreadJournals.empty() || !self->open.isEmpty()) {
         const Result<void> read = co_await Private::refresh(self);
         if (!read) {
             co_return false;
@@ -351,46 +351,48 @@
     co_return self->hasLoadedTurns && self->unreadJournals.empty();
 }
 
-void JournalReader::noteUnlisted(const Incarnation &peer, std::uint64_t lastKnown)
+bool JournalReader::knowsAllTurns() const
 {
-    noteMissedTurns(peer, lastKnown);
-    d->openJournals.try_emplace(peer, Private::now());
+    return d->hasLoadedTurns && d->unreadJournals.empty() && d->open.isEmpty();
 }
 
-void JournalReader::noteListed(const Incarnation &peer)
+void JournalReader::noteUnlisted(const Incarnation &peer, const HostName &host,
+                                 std::uint64_t lastKnown)
 {
-    d->openJournals.erase(peer);
+    noteLostPeer(peer, lastKnown);
+    d->open.add(peer, {host, lastKnown, Private::now()});
 }
 
-void JournalReader::noteEnded(const Incarnation &peer)
+std::uint64_t JournalReader::noteRunning(const HostName &host, const Incarnation &peer)
 {
-    if (d->openJournals.erase(peer) > 0) {
-        noteMissedTurns(peer, 0);
+    const OpenJournals::Change change = d->open.onRunning(host, peer);
+    for (const auto &[ended, journal] : change.ended) {
+        noteLostPeer(ended, journal.lastKnown);
     }
+    return change.own ? change.own->lastKnown : 0;
 }
 
 bool JournalReader::isOpenReadDue() const
 {
-    return !d->openJournals.empty() && Private::now() - d->openReadAt > kOpenJournalInterval;
+    return !d->open.isEmpty() && Private::now() - d->openReadAt > kOpenJournalInterval;
 }
 
 void JournalReader::noteLostPeer(const Incarnation &peer, std::uint64_t lastKnown)
 {
     noteMissedTurns(peer, lastKnown);
     d->unreadSpending.insert(peer);
+    // Its spending is needed for as long as that of a live gateway.
+    d->cleaner.extendLedger(peer, spendingKeptUntil());
 }
 
 bool JournalReader::mayMissSpending() const
 {
-    return !d->unreadSpending.empty();
+    return !d->unreadSpending.empty() || !d->open.isEmpty();
 }
 
 void JournalReader::noteMissedTurns(const Incarnation &peer, std::uint64_t lastKnown)
 {
-    const auto last = d->lastRead.find(peer);
-    if (last != d->lastRead.end()) {
-        lastKnown = std::max<std::uint64_t>(lastKnown, last->second);
-    }
+    lastKnown = d->ranges.continueAfter(peer, lastKnown);
     const auto [at, isNew] = d->unreadJournals.emplace(peer, lastKnown);
     at->second = std::min(at->second, lastKnown);
     ++d->notes[peer];
@@ -415,7 +417,6 @@
 {
     d->hasLoadedTurns = false;
     d->hasStartedLoadingTurns = false;
-    d->openJournals.clear();
 }
 
 std::vector<store::ObjectKey>
--- a/basilhall/gateway/journal_reader.h
+++ b/basilhall/gateway/journal_reader.h
@@ -16,6 +16,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -24,6 +25,9 @@
 namespace basilhall::gateway
 {
 
+// Returns the hosts and incarnations of connected gateways.
+using RunningGateways = std::function<std::map<HostName, Incarnation>()>;
+
 // Not thread-safe: use from its executor. Adds what it reads to `state`, which must outlive it.
 class JournalReader
 {
@@ -36,9 +40,9 @@
 
     // Reads the spending of all gateways: their ledgers, and the journal batches after these.
     boost::asio::awaitable<Result<void>> loadLedgers();
-    // Reads all journals completely. The writers in `members` will send later turns; the other
-    // journals become open.
-    boost::asio::awaitable<Result<void>> loadTurns(std::set<Incarnation> members = {});
+    // Reads all journals completely. `running` returns the gateways that send their turns to this
+    // one; the journals of others become open, unless a later process runs on their host.
+    boost::asio::awaitable<Result<void>> loadTurns(RunningGateways running);
     // Reads the unread batches of the unread and of the open journals. The read starts after the
     // call.
     boost::asio::awaitable<Result<void>> refresh();
@@ -54,14 +58,16 @@
     void noteMissedTurns(const Incarnation &peer, std::uint64_t lastKnown);
     // Records that a gateway is no longer a member, but may still run and write its journal. The
     // journal becomes open: it is never read to its end for good.
-    void noteUnlisted(const Incarnation &peer, std::uint64_t lastKnown);
-    // Records that an unlisted gateway is a member again and sends its turns.
-    void noteListed(const Incarnation &peer);
-    // Records that the process of an unlisted gateway has ended: its journal is read once more.
-    void noteEnded(const Incarnation &peer);
+    void noteUnlisted(const Incarnation &peer, const HostName &host, std::uint64_t lastKnown);
+    // Records that a gateway is connected and sends its turns from now on: its journal is closed,
+    // and those of earlier processes on its host are read once more. Returns the last batch of its
+    // journal that was known when it became open, or 0.
+    std::uint64_t noteRunning(const HostName &host, const Incarnation &peer);
     // True if the open journals have to be read before their writers remove expired batches, behind
     // which the reader would not find the next ones.
     bool isOpenReadDue() const;
+    // True if all turns are known and no journal has to be read to be sure of it.
+    bool knowsAllTurns() const;
     // True if a journal may contain unknown spending. This gateway must not become the home of a
     // program then.
     bool mayMissSpending() const;
--- a/basilhall/gateway/ledger_snapshot.cpp
+++ b/basilhall/gateway/ledger_snapshot.cpp
@@ -12,6 +12,7 @@
     wire::LedgerSnapshot message;
     message.set_incarnation(snapshot.incarnation.value());
     message.set_batch(snapshot.batch);
+    message.set_host(snapshot.host.value());
     for (const auto &[incarnation, report] : snapshot.spends) {
         *message.add_spends() = toRecord(incarnation, report);
     }
@@ -27,7 +28,8 @@
         return store::corruptObject(key,
                                     "does not contain the ledger of the incarnation in its name");
     }
-    LedgerSnapshot snapshot{Incarnation(message.incarnation()), message.batch(), {}};
+    LedgerSnapshot snapshot{
+        Incarnation(message.incarnation()), message.batch(), {}, HostName(message.host())};
     for (const journal::ProgramSpend &spend : message.spends()) {
         snapshot.spends.emplace_back(Incarnation(spend.incarnation()), fromRecord(spend));
     }
--- a/basilhall/gateway/ledger_snapshot.h
+++ b/basilhall/gateway/ledger_snapshot.h
@@ -28,6 +28,8 @@
     // The last batch whose spending is included.
     journal::BatchNumber batch = 0;
     std::vector<std::pair<Incarnation, turns::SpendReport>> spends;
+    // The host that the incarnation runs on; empty if unknown.
+    HostName host;
 
     auto operator<=>(const LedgerSnapshot &) const = default;
 };
--- a/basilhall/gateway/ledger_snapshot_test.cpp
+++ b/basilhall/gateway/ledger_snapshot_test.cpp
@@ -13,7 +13,8 @@
 
 const LedgerSnapshot kSnapshot{Incarnation("a"),
                                7,
-                               {{Incarnation("a"), {ProgramId("p"), TeamName("t"), 100, 300}}}};
+                               {{Incarnation("a"), {ProgramId("p"), TeamName("t"), 100, 300}}},
+                               HostName("host")};
 const store::ObjectKey kKey{kLedgerKind, "a"};
 
 } // namespace
--- a/basilhall/gateway/membership.cpp
+++ b/basilhall/gateway/membership.cpp
@@ -50,6 +50,7 @@
         access(store::Create{key(), encodeMember(self)},
                [self = shared_from_this()](const store::Outcome &outcome) {
                    if (outcome) {
+                       self->wasListed = true;
                        self->log.info("Registered.", Field("host", self->self.host));
                    } else if (outcome.error().kind() == ErrorKind::StoreConflict) {
                        self->readExisting();
@@ -80,6 +81,7 @@
         access(store::Update{key(), encodeMember(self), existing.version},
                [self = shared_from_this()](const store::Outcome &outcome) {
                    if (outcome) {
+                       self->wasListed = true;
                        self->log.info("Registered.", Field("host", self->self.host));
                    } else {
                        self->scheduleRetry();
@@ -150,7 +152,7 @@
     // Gateways whose subscription is newer than the registration of their host.
     std::map<HostName, Subscription> subscribed;
     std::set<HostName> pendingRemovals;
-    // The registration of this process has been in a list.
+    // The registration of this process was accepted, or has been in a list.
     bool wasListed = false;
     bool hasLeft = false;
 };
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -88,9 +88,13 @@
 const transport::KeepAlive kKeepAlive{std::chrono::milliseconds(700),
                                       std::chrono::milliseconds(2100)};
 
-std::string keepRequest(std::vector<journal::Record> records)
+std::string keepRequest(std::vector<journal::Record> records,
+                        const std::set<Incarnation> &announcedTo)
 {
     wire::KeepRequest request;
+    for (const Incarnation &incarnation : announcedTo) {
+        request.add_announced_to(incarnation.value());
+    }
     for (journal::Record &record : records) {
         *request.add_records() = std::move(record);
     }
@@ -152,7 +156,10 @@
         , requests(
               st, k, log, [this] { return receivesAllTurns(); }, [this] { flush(); },
               [this] { return journalMarks(); },
-              [this] { return isHolder ? liveIncarnations() : std::set<Incarnation>(); })
+              [this] { return isHolder ? liveIncarnations() : std::set<Incarnation>(); },
+              [this](const journal::TurnKept &turn, const std::set<Incarnation> &announcedTo) {
+                  announce(turn, announcedTo);
+              })
         , client(e, kKeepAlive)
         , exchange(self.failureDomain)
         , random(std::hash<std::string>()(self.incarnation.value()))
@@ -411,6 +418,97 @@
         return sorted;
     }
 
+    // What the peers replied to a search.
+    struct SearchReplies {
+        bool isFound = false;
+        // A holder that knows all turns of the gateways that it lists.
+        std::optional<HostName> completeHolder;
+        std::set<Incarnation> replied;
+        std::set<Incarnation> listed;
+
+        // True if every gateway that a holder lists has replied.
+        bool includeAllListed() const
+        {
+            return std::includes(replied.begin(), replied.end(), listed.begin(), listed.end());
+        }
+    };
+
+    // Asks one peer for a turn.
+    static asio::awaitable<void> askForTurn(std::shared_ptr<Private> self,
+                                            std::shared_ptr<Peer> peer, turns::TurnId id,
+                                            bool mayReadJournals, SearchReplies &replies)
+    {
+        wire::TurnRequest request;
+        request.set_turn_id(id.value());
+        request.set_confirm(mayReadJournals);
+        std::optional<std::string> message;
+        if (peer->isConnected) {
+            message = co_await self->sendRequest(peer->member.address, kTurnMethod,
+                                                 request.SerializeAsString(), kRequestTimeout);
+        }
+        wire::TurnReply reply;
+        // A process that replaced the peer on its host does not know the turns of its predecessor.
+        if (!message || !reply.ParseFromString(*message)
+            || reply.incarnation() != peer->member.incarnation.value()) {
+            co_return;
+        }
+        replies.replied.insert(peer->member.incarnation);
+        for (const std::string &member : reply.members()) {
+            replies.listed.insert(Incarnation(member));
+        }
+        for (const journal::TurnKept &turn : reply.turns()) {
+            self->keeper.addTurn(turn);
+        }
+        replies.isFound = reply.turns_size() > 0;
+        if (reply.complete()) {
+            replies.completeHolder = peer->member.host;
+        }
+    }
+
+    // Asks all peers for what they have in memory first. Only if none has the turn, a holder reads
+    // the journals of gateways that may have kept it unnoticed.
+    static asio::awaitable<TurnSearch> findTurn(std::shared_ptr<Private> self, turns::TurnId id)
+    {
+        const std::vector<std::shared_ptr<Peer>> asked = self->peersHoldersFirst();
+        SearchReplies replies;
+        replies.replied.insert(self->self.incarnation);
+        for (const auto &peer : asked) {
+            co_await askForTurn(self, peer, id, false, replies);
+            if (replies.isFound) {
+                co_return TurnSearch::Found;
+            }
+        }
+        const bool haveAllReplied = replies.replied.size() == asked.size() + 1;
+        if (!replies.completeHolder && self->keeper.reader().hasLoadedTurns()
+            && co_await self->keeper.reader().confirmAllTurns() && self->receivesAllTurns()) {
+            replies.completeHolder = self->self.host;
+        }
+        if (self->state.turns().hasWholeChain(id)) {
+            co_return TurnSearch::Found;
+        }
+        for (const auto &peer : asked) {
+            if (replies.completeHolder) {
+                break;
+            }
+            if (self->isHolderAmong(peer->member)) {
+                co_await askForTurn(self, peer, id, true, replies);
+            }
+            if (replies.isFound) {
+                co_return TurnSearch::Found;
+            }
+        }
+        self->log.info("No peer knows the turn.", Field("turn", id), Field("asked", asked.size()),
+                       Field("replied", replies.replied.size() - 1),
+                       Field("complete", replies.completeHolder.has_value()),
+                       Field("holder", replies.completeHolder.value_or(HostName())),
+                       Field("listed", replies.listed.size()),
+                       Field("all_listed_replied", replies.includeAllListed()));
+        if (!haveAllReplied || !replies.includeAllListed()) {
+            co_return TurnSearch::Incomplete;
+        }
+        co_return replies.completeHolder ? TurnSearch::Unknown : TurnSearch::UnknownToPeers;
+    }
+
     // Sends one request and returns the reply, if it arrives within `timeout`.
     asio::awaitable<std::optional<std::string>> sendRequest(Address address, std::string method,
                                                             std::string request, Duration timeout)
@@ -526,13 +624,35 @@
         return std::make_shared<const std::string>(update.SerializeAsString());
     }
 
-    void broadcast(const wire::Update &update)
+    // Sends a turn to the subscribers that store all turns, except those in `known`.
+    void announce(const journal::TurnKept &turn, const std::set<Incarnation> &known)
     {
+        wire::Update update = newUpdate();
+        *update.add_turns() = turn;
         const auto message = std::make_shared<const std::string>(update.SerializeAsString());
         for (const auto &subscriber : subscribers) {
-            if (update.turns_size() > 0 && !subscriber->wantsTurns) {
-                continue;
+            if (subscriber->wantsTurns && !known.contains(subscriber->incarnation)) {
+                send(*subscriber, message);
+            }
+        }
+    }
+
+    // Returns the gateways that announce() sends a turn to, and this one.
+    std::set<Incarnation> announcedTo() const
+    {
+        std::set<Incarnation> incarnations{self.incarnation};
+        for (const auto &subscriber : subscribers) {
+            if (subscriber->wantsTurns && !subscriber->isCancelled) {
+                incarnations.insert(subscriber->incarnation);
             }
+        }
+        return incarnations;
+    }
+
+    void broadcast(const wire::Update &update)
+    {
+        const auto message = std::make_shared<const std::string>(update.SerializeAsString());
+        for (const auto &subscriber : subscribers) {
             send(*subscriber, message);
         }
     }
@@ -659,8 +779,8 @@
                    });
     }
 
-    // Handles that a gateway is no longer a member. Without a successor on its host, it may still
-    // run: it was only silent, or could not register.
+    // Handles that a gateway is no longer a member. It may still run: it was only silent, or could
+    // not register.
     void onDropped(const Peer &lost, bool isReplaced)
     {
         log.info("A gateway is no longer a member.", Field("peer", lost.member.host),
@@ -672,25 +792,12 @@
         if (!isStale) {
             recordLostPeer(lost);
         }
-        if (!isReplaced && isHolder) {
-            keeper.reader().noteUnlisted(lost.member.incarnation, lost.durableBatch);
-            unlisted[lost.member.host].insert(lost.member.incarnation);
-        }
-    }
-
-    // A host runs one process at a time, so its earlier ones have ended.
-    void closeJournalsOfPredecessors(const Member &member)
-    {
-        const auto found = unlisted.find(member.host);
-        if (found == unlisted.end()) {
-            return;
-        }
-        for (const Incarnation &earlier : found->second) {
-            if (earlier != member.incarnation) {
-                keeper.reader().noteEnded(earlier);
-            }
+        // A registration may be older than the process that it seems to replace, so only a
+        // connection to the successor proves the end.
+        if (isHolder && !(isReplaced && isStale)) {
+            keeper.reader().noteUnlisted(lost.member.incarnation, lost.member.host,
+                                         lost.durableBatch);
         }
-        unlisted.erase(found);
     }
 
     // Records that turns of a live peer were missed. The peer sends its spending, but from `since`
@@ -757,11 +864,13 @@
             }
             if (!peer->isConnected) {
                 peer->isConnected = true;
+                peer->durableBatch = std::max(
+                    peer->durableBatch,
+                    self->keeper.reader().noteRunning(peer->member.host, peer->member.incarnation));
                 if (self->keeper.reader().hasStartedLoadingTurns()) {
                     // Turns that were announced before the connection were missed.
                     self->noteMissedTurns(*peer, update.durable_batch(), silentSince(*peer));
                 }
-                self->keeper.reader().noteListed(peer->member.incarnation);
                 self->log.info("Connected to a peer.", Field("peer", peer->member.host),
                                Field("incarnation", peer->member.incarnation));
             }
@@ -833,8 +942,6 @@
     transport::StreamClient client;
     std::unique_ptr<transport::StreamServer> server;
     std::map<HostName, std::shared_ptr<Peer>> peers;
-    // Gateways of each host that were members and may still run.
-    std::map<HostName, std::set<Incarnation>> unlisted;
     std::unordered_set<std::shared_ptr<Subscriber>> subscribers;
     std::map<DocumentKind, Document> documents;
     DocumentExchange exchange;
@@ -890,9 +997,6 @@
             d->onDropped(*peer, isReplaced);
         }
     }
-    for (const auto &[host, peer] : kept) {
-        d->closeJournalsOfPredecessors(peer->member);
-    }
     d->peers = std::move(kept);
 }
 
@@ -964,9 +1068,7 @@
 
 void PeerMesh::announce(const journal::TurnKept &turn)
 {
-    wire::Update update = d->newUpdate();
-    *update.add_turns() = turn;
-    d->broadcast(update);
+    d->announce(turn, {});
 }
 
 void PeerMesh::publish(Document document)
@@ -1023,61 +1125,7 @@
 
 asio::awaitable<TurnSearch> PeerMesh::findTurn(turns::TurnId id)
 {
-    const auto self = d;
-    wire::TurnRequest request;
-    request.set_turn_id(id.value());
-    const std::string bytes = request.SerializeAsString();
-    const std::vector<std::shared_ptr<Peer>> asked = self->peersHoldersFirst();
-    bool haveAllReplied = true;
-    bool isAnyComplete = false;
-    HostName completeHost;
-    std::set<Incarnation> replied{self->self.incarnation};
-    std::set<Incarnation> listed;
-    for (const auto &peer : asked) {
-        std::optional<std::string> message;
-        if (peer->isConnected) {
-            message = co_await self->sendRequest(peer->member.address, kTurnMethod, bytes,
-                                                 kRequestTimeout);
-        }
-        wire::TurnReply reply;
-        // A process that replaced the peer on its host does not know the turns of its predecessor.
-        if (!message || !reply.ParseFromString(*message)
-            || reply.incarnation() != peer->member.incarnation.value()) {
-            haveAllReplied = false;
-            continue;
-        }
-        if (reply.complete() && !isAnyComplete) {
-            isAnyComplete = true;
-            completeHost = peer->member.host;
-        }
-        replied.insert(peer->member.incarnation);
-        for (const std::string &member : reply.members()) {
-            listed.insert(Incarnation(member));
-        }
-        for (const journal::TurnKept &turn : reply.turns()) {
-            self->keeper.addTurn(turn);
-        }
-        if (reply.turns_size() > 0) {
-            co_return TurnSearch::Found;
-        }
-    }
-    if (!haveAllReplied) {
-        co_return TurnSearch::Incomplete;
-    }
-    if (!std::includes(replied.begin(), replied.end(), listed.begin(), listed.end())) {
-        self->log.info("A holder lists gateways that were not asked for a turn.", Field("turn", id),
-                       Field("asked", asked.size()), Field("listed", listed.size()));
-        co_return TurnSearch::Incomplete;
-    }
-    if (!isAnyComplete && self->receivesAllTurns()) {
-        isAnyComplete =
-            co_await self->keeper.reader().confirmAllTurns() && self->receivesAllTurns();
-        completeHost = self->self.host;
-    }
-    self->log.info("No peer knows the turn.", Field("turn", id), Field("asked", asked.size()),
-                   Field("complete", isAnyComplete), Field("holder", completeHost),
-                   Field("members", self->peers.size() + 1));
-    co_return isAnyComplete ? TurnSearch::Unknown : TurnSearch::UnknownToPeers;
+    return Private::findTurn(d, std::move(id));
 }
 
 bool PeerMesh::isConnectedToAll() const
@@ -1092,6 +1140,22 @@
            });
 }
 
+bool PeerMesh::receivesAllTurns() const
+{
+    return d->receivesAllTurns();
+}
+
+std::map<HostName, Incarnation> PeerMesh::runningGateways() const
+{
+    std::map<HostName, Incarnation> running{{d->self.host, d->self.incarnation}};
+    for (const auto &[host, peer] : d->peers) {
+        if (peer->isConnected) {
+            running.emplace(host, peer->member.incarnation);
+        }
+    }
+    return running;
+}
+
 bool PeerMesh::hasHolderWithLedger() const
 {
     return std::any_of(d->peers.begin(), d->peers.end(), [this](const auto &entry) {
@@ -1138,7 +1202,7 @@
     if (writers.empty()) {
         co_return CommitOutcome::WriteLocally;
     }
-    const std::string request = keepRequest(std::move(records));
+    const std::string request = keepRequest(std::move(records), self->announcedTo());
     std::size_t tries = 0;
     for (const auto &writer : writers) {
         if (!writer) {
@@ -1165,7 +1229,7 @@
 asio::awaitable<bool> PeerMesh::relay(std::vector<journal::Record> records)
 {
     const auto self = d;
-    const std::string bytes = keepRequest(std::move(records));
+    const std::string bytes = keepRequest(std::move(records), self->announcedTo());
     std::vector<Address> addresses;
     for (const auto &peer : self->peersHoldersFirst()) {
         if (self->isReachable(*peer) && addresses.size() < kMaxRelayPeers) {
--- a/basilhall/gateway/peer_mesh.h
+++ b/basilhall/gateway/peer_mesh.h
@@ -97,6 +97,10 @@
     bool isConnectedToAll() const;
     // True if this gateway is a holder and every connected member sends it the turns that it keeps.
     bool isSubscribedToTurns() const;
+    // True if this gateway is a holder and every member is connected and sends its turns.
+    bool receivesAllTurns() const;
+    // Returns this gateway and the connected ones.
+    std::map<HostName, Incarnation> runningGateways() const;
     // True if a connected holder knows all earlier spending, so that it can be the home of
     // programs.
     bool hasHolderWithLedger() const;
--- a/basilhall/gateway/peer_mesh_test.cpp
+++ b/basilhall/gateway/peer_mesh_test.cpp
@@ -19,7 +19,8 @@
     // Turns that were written for other gateways can be read after the loss of all processes.
     MeshNode successor(context, objects, "successor", 500);
     runCoroutine(context, [&]() -> asio::awaitable<void> {
-        const Result<void> read = co_await successor.keeper.reader().loadTurns();
+        const Result<void> read = co_await successor.keeper.reader().loadTurns(
+            [&] { return successor.mesh.runningGateways(); });
         BOOST_TEST(read.has_value());
     });
     BOOST_TEST(successor.state.turns().contains(turns::TurnId("t1")));
@@ -160,7 +161,8 @@
     const auto early = prompt(*weak, "none");
     BOOST_TEST((!early && early.error().kind() == ErrorKind::Unavailable));
     runCoroutine(context, [&]() -> asio::awaitable<void> {
-        const Result<void> read = co_await strong->keeper.reader().loadTurns();
+        const Result<void> read = co_await strong->keeper.reader().loadTurns(
+            [&] { return strong->mesh.runningGateways(); });
         BOOST_TEST(read.has_value());
     });
     const auto sure = prompt(*weak, "none");
--- a/basilhall/gateway/snapshot_writer.cpp
+++ b/basilhall/gateway/snapshot_writer.cpp
@@ -27,6 +27,10 @@
                 // An earlier write took effect although its answer was lost.
                 self->readVersion();
             } else {
+                if (!outcome && outcome.error().kind() == ErrorKind::NotFound) {
+                    // Removed by a gateway that considered this one lost.
+                    self->version = store::ResourceVersion();
+                }
                 self->finish(false);
             }
         });
--- a/basilhall/gateway/testing/mesh_fixture.h
+++ b/basilhall/gateway/testing/mesh_fixture.h
@@ -43,7 +43,7 @@
                   handler(isCutFromStore ? Error(ErrorKind::StoreUnavailable, "cut").withNotRun()
                                          : objects.apply(request));
               },
-              state, logging::Log(), registry)
+              HostName(name), state, logging::Log(), registry)
         , mesh(
               context.get_executor(),
               {HostName(name),
@@ -155,7 +155,8 @@
         connect();
         flushUntil([this] { return strong->mesh.isSubscribedToTurns() && !weak->mesh.isHolder(); });
         runCoroutine(context, [&]() -> asio::awaitable<void> {
-            const Result<void> read = co_await strong->keeper.reader().loadTurns();
+            const Result<void> read = co_await strong->keeper.reader().loadTurns(
+                [this] { return strong->mesh.runningGateways(); });
             BOOST_TEST(read.has_value());
         });
     }
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -66,10 +66,11 @@
 class TurnKeeper::Private : public std::enable_shared_from_this<TurnKeeper::Private>
 {
 public:
-    Private(const asio::any_io_executor &e, StoreAccess a, FleetState &s, logging::Log l,
-            metrics::Registry &registry)
+    Private(const asio::any_io_executor &e, StoreAccess a, HostName h, FleetState &s,
+            logging::Log l, metrics::Registry &registry)
         : executor(e)
         , access(std::move(a))
+        , host(std::move(h))
         , state(s)
         , log(std::move(l))
         , reader(e, access, s, log)
@@ -108,7 +109,7 @@
         if (hasDurableLedger && writer.durableNumber() == ledgerBatch) {
             return;
         }
-        LedgerSnapshot snapshot{state.self(), writer.durableNumber(), {}};
+        LedgerSnapshot snapshot{state.self(), writer.durableNumber(), {}, host};
         snapshot.spends = state.budgets().summary();
         std::erase_if(snapshot.spends, [this](const auto &entry) {
             return !recordedPrograms.contains(entry.second.program);
@@ -374,6 +375,7 @@
 
     asio::any_io_executor executor;
     StoreAccess access;
+    HostName host;
     FleetState &state;
     logging::Log log;
     JournalReader reader;
@@ -414,9 +416,10 @@
     bool knowsLedger = false;
 };
 
-TurnKeeper::TurnKeeper(const asio::any_io_executor &executor, StoreAccess access, FleetState &state,
-                       logging::Log log, metrics::Registry &registry)
-    : d(std::make_shared<Private>(executor, std::move(access), state, std::move(log), registry))
+TurnKeeper::TurnKeeper(const asio::any_io_executor &executor, StoreAccess access, HostName host,
+                       FleetState &state, logging::Log log, metrics::Registry &registry)
+    : d(std::make_shared<Private>(executor, std::move(access), std::move(host), state,
+                                  std::move(log), registry))
 {
 }
 
@@ -497,11 +500,6 @@
                                                   fromRecord(record.program_spend()),
                                                   Private::now());
         } else if (record.has_turn_kept()) {
-            const turns::TurnId id(record.turn_kept().turn_id());
-            if (self->announce && !self->state.turns().contains(id)) {
-                // The peer did not announce it here: other holders may not list the peer either.
-                self->announce(record.turn_kept());
-            }
             self->state.turns().add(fromRecord(record.turn_kept()));
         }
     }
@@ -623,12 +621,14 @@
     d->state.turns().add(fromRecord(turn));
 }
 
-void TurnKeeper::expire(const std::optional<std::set<Incarnation>> &live)
+void TurnKeeper::expire(bool receivesAllTurns, const std::optional<std::set<Incarnation>> &live)
 {
     const WallMillis wallNow = MonotonicClock().wallMillis();
     d->state.turns().expire(wallNow);
-    d->remove(d->localJournal.expired(wallNow, {}, kRemovalsPerRound));
-    if (live) {
+    if (receivesAllTurns) {
+        d->remove(d->localJournal.expired(wallNow, {}, kRemovalsPerRound));
+    }
+    if (receivesAllTurns && live) {
         d->remove(d->reader.expired(wallNow, *live, kRemovalsPerRound));
     }
     d->state.budgets().expire(Private::now() - kProgramRetention);
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -68,8 +68,8 @@
     // Searches a turn at the peers; see PeerMesh::findTurn.
     using SearchPeers = std::function<boost::asio::awaitable<TurnSearch>(turns::TurnId)>;
 
-    TurnKeeper(const boost::asio::any_io_executor &executor, StoreAccess access, FleetState &state,
-               logging::Log log, metrics::Registry &registry);
+    TurnKeeper(const boost::asio::any_io_executor &executor, StoreAccess access, HostName host,
+               FleetState &state, logging::Log log, metrics::Registry &registry);
     ~TurnKeeper();
     TurnKeeper(const TurnKeeper &) = delete;
     TurnKeeper &operator=(const TurnKeeper &) = delete;
@@ -116,9 +116,10 @@
     bool canPersist() const;
     // Adds a turn that a peer sent.
     void addTurn(const journal::TurnKept &turn);
-    // Drops what is no longer kept, also from the object API. Only one gateway passes the live
+    // Drops what is no longer kept, also from the object API if `receivesAllTurns`: otherwise a
+    // turn that continues an expired one may be unknown here. Only one gateway passes the live
     // incarnations: it also removes the objects of all others. The other gateways pass nothing.
-    void expire(const std::optional<std::set<Incarnation>> &live);
+    void expire(bool receivesAllTurns, const std::optional<std::set<Incarnation>> &live);
     // True if no record is waiting to become durable.
     bool isIdle() const;
 
--- a/basilhall/gateway/unlisted_gateway_test.cpp
+++ b/basilhall/gateway/unlisted_gateway_test.cpp
@@ -34,7 +34,8 @@
     weak->mesh.setMembers({strong->mesh.member()});
     flushUntil([this] { return strong->mesh.isSubscribedToTurns() && !weak->mesh.isHolder(); });
     runCoroutine(context, [&]() -> asio::awaitable<void> {
-        const Result<void> read = co_await strong->keeper.reader().loadTurns();
+        const Result<void> read = co_await strong->keeper.reader().loadTurns(
+            [&] { return strong->mesh.runningGateways(); });
         BOOST_TEST(read.has_value());
     });
     BOOST_TEST_REQUIRE(keep(*middle, turn("t2", "t1")).has_value());
@@ -49,7 +50,35 @@
     weak->mesh.setMembers({strong->mesh.member()});
     middle->state.turns().add(turn("t1"));
     const auto unsure = prompt(*weak, "t1");
-    BOOST_TEST((!unsure && unsure.error().kind() != ErrorKind::NotFound));
+    BOOST_TEST((!unsure && unsure.error().kind() == ErrorKind::Unavailable));
+    weak->mesh.setMembers({strong->mesh.member(), middle->mesh.member()});
+    flushUntil([this] { return weak->mesh.isConnectedToAll(); });
+    const auto found = prompt(*weak, "t1");
+    BOOST_TEST((found && found.value() == "inoutnext"));
+    const auto none = prompt(*weak, "none");
+    BOOST_TEST((!none && none.error().kind() == ErrorKind::NotFound));
+}
+
+// The writer lists the gateway, which has subscribed to it; the holder does not.
+BOOST_AUTO_TEST_CASE(turnWrittenForAGatewayThatOnlyTheWriterListsReachesTheHolders)
+{
+    const auto writer = std::make_shared<MeshNode>(context, objects, "writer", 400, "b");
+    writer->keeper.setLoaded();
+    writer->keeper.setLedgerKnown();
+    const auto unlisted = middle;
+    middle = writer;
+    connectWithLoadedHolder();
+    const std::vector<Member> listed{strong->mesh.member(), weak->mesh.member(),
+                                     unlisted->mesh.member()};
+    writer->mesh.setMembers(listed);
+    unlisted->mesh.setMembers({writer->mesh.member()});
+    flushUntil([&] {
+        return unlisted->mesh.reachableCount() == 1 && writer->mesh.reachableCount() == 3
+            && writer->mesh.isSubscribedToTurns();
+    });
+    BOOST_TEST_REQUIRE(keep(*unlisted, turn("t1")).has_value());
+    wait(100ms);
+    BOOST_TEST(strong->state.turns().contains(turns::TurnId("t1")));
 }
 
 // The writer is lost after it made a turn durable for a gateway that the holder does not list.
@@ -72,6 +101,54 @@
     BOOST_TEST((found && found.value() == "inoutnext"));
 }
 
+// A registration that the store still has is older than the process, which cannot register.
+BOOST_AUTO_TEST_CASE(oldRegistrationDoesNotCloseTheJournalOfALaterProcess)
+{
+    connectWithLoadedHolder();
+    Member old = middle->mesh.member();
+    old.incarnation = Incarnation("middle-0");
+    middle->mesh.setMembers({});
+    strong->mesh.setMembers({old, weak->mesh.member()});
+    strong->mesh.setMembers({weak->mesh.member()});
+    weak->mesh.setMembers({strong->mesh.member()});
+    flushUntil([this] { return middle->mesh.isHolder(); });
+    BOOST_TEST_REQUIRE(keep(*middle, turn("t1")).has_value());
+    const auto found = prompt(*weak, "t1");
+    BOOST_TEST((found && found.value() == "inoutnext"));
+}
+
+// It admits turns of its programs until it knows that another gateway has become their home.
+BOOST_AUTO_TEST_CASE(spendingOfAnUnlistedHomeIsReadBeforeAnotherOneAdmits)
+{
+    const ProgramId program("p");
+    connectWithLoadedHolder();
+    middle->state.budgets().claim(program, MonotonicClock().now());
+    const turns::TurnBudget asked{program, kTeam, 1000, 200};
+    BOOST_TEST((middle->state.budgets().admit(asked, MonotonicClock().now())
+                == turns::Admission::Admitted));
+    flushUntil([&] { return strong->state.budgets().knows(program); });
+    removeSilent(*middle);
+    middle->mesh.setMembers({});
+    flushUntil([this] { return middle->mesh.isHolder(); });
+    for (int i = 0; i < 5; ++i) {
+        (void)middle->state.budgets().admit(asked, MonotonicClock().now());
+        runCoroutine(context, [&]() -> asio::awaitable<void> {
+            const Result<void> covered = co_await middle->keeper.cover(program, 2s);
+            BOOST_TEST(covered.has_value());
+        });
+    }
+    BOOST_TEST(middle->state.budgets().spent(program) == 1000U);
+    BOOST_TEST(strong->keeper.reader().mayMissSpending());
+    Result<turns::Admission> admission = turns::Admission::Elsewhere;
+    for (int i = 0; i < 3 && admission && admission.value() == turns::Admission::Elsewhere; ++i) {
+        admission = strong->state.budgets().admit(asked, MonotonicClock().now());
+        if (admission.value() == turns::Admission::Orphaned) {
+            admission = askHome(*strong, asked);
+        }
+    }
+    BOOST_TEST((admission && admission.value() == turns::Admission::Exhausted));
+}
+
 // The store refuses its registration, so no list includes it.
 BOOST_AUTO_TEST_CASE(gatewayThatCannotRegisterStaysAMemberWhileItIsSubscribed)
 {
@@ -86,9 +163,13 @@
     wait(3200ms);
     membership.setAll({strong->mesh.member()});
     BOOST_TEST(strong->mesh.memberCount() == 1U);
+    // Its registration arrives, and is removed because it was silent elsewhere.
+    membership.set(weak->mesh.member());
+    membership.remove(weak->mesh.member().host);
+    BOOST_TEST(strong->mesh.memberCount() == 1U);
     weak->mesh.close();
     wait(100ms);
-    membership.setAll({strong->mesh.member()});
+    membership.dropUnsubscribed();
     BOOST_TEST(strong->mesh.memberCount() == 0U);
 }
 
