An endpoint that announces in an answer that it leaves gets no new request

Cause: only the registration said that an endpoint leaves. Some endpoints never register as leaving, and a registration may state "ready" while the endpoint leaves; the gateway passed the endpoint's announcement on and ignored it.

Callers saw requests go to an endpoint that had announced its leave, until its registration was removed, and fail when it exited.

Change: an announcement in any answer but 421 (refused, unsigned and error answers too) excludes that process of the endpoint at once, for new requests, retries and resumed streams; running streams go on. It overrides registrations until one states a later start. An unknown start counts as the same process. If all endpoints of a service leave, callers get the existing 503 with a retry time. The first announcement of a process is logged. Peers are not told: each gateway learns from its own answers.

--- a/basilhall/gateway/call.h
+++ b/basilhall/gateway/call.h
@@ -70,6 +70,8 @@
     bool isMisdirected = false;
     // The endpoint signed the answer.
     bool isSigned = false;
+    // The endpoint announces that it leaves and is to get no new requests.
+    bool isLeaving = false;
     // The request that the answer belongs to; empty if not stated.
     CallId call;
 
--- a/basilhall/gateway/fleet_state.cpp
+++ b/basilhall/gateway/fleet_state.cpp
@@ -51,7 +51,9 @@
 void FleetState::place(const fleet::Endpoint &endpoint)
 {
     const fleet::Service *service = m_policy ? m_policy->findService(endpoint.service) : nullptr;
-    m_placement.setEndpoint(endpoint, service != nullptr ? service->engine : std::nullopt);
+    fleet::Endpoint placed = endpoint;
+    placed.isLeaving = isLeaving(endpoint);
+    m_placement.setEndpoint(placed, service != nullptr ? service->engine : std::nullopt);
 }
 
 void FleetState::placeAll()
@@ -105,6 +107,7 @@
     for (const EndpointName &name : dropped) {
         m_placement.removeEndpoint(name);
     }
+    m_leaving.expire(m_directory.endpoints(), now);
     return dropped.size();
 }
 
@@ -120,6 +123,20 @@
     return m_directory.find(name) != nullptr;
 }
 
+bool FleetState::markLeaving(const fleet::Endpoint &endpoint, Instant now)
+{
+    const bool isFirst = m_leaving.add(endpoint.name, endpoint.startedAt, now);
+    if (const fleet::Endpoint *registered = m_directory.find(endpoint.name)) {
+        place(*registered);
+    }
+    return isFirst;
+}
+
+bool FleetState::isLeaving(const fleet::Endpoint &endpoint) const
+{
+    return endpoint.isLeaving || m_leaving.contains(endpoint);
+}
+
 Result<void> FleetState::admit(const TeamName &team, bool beginsProgram, Instant now)
 {
     const auto found = m_rates.find(team);
--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -8,6 +8,7 @@
 
 #include "basilhall/base/result.h"
 #include "basilhall/fleet/endpoint_directory.h"
+#include "basilhall/fleet/leaving_endpoints.h"
 #include "basilhall/fleet/policy.h"
 #include "basilhall/limit/shared_rate.h"
 #include "basilhall/placement/placement.h"
@@ -62,6 +63,11 @@
     EndpointListing endpointListing(Instant now) const;
     std::size_t endpointCount() const { return m_directory.endpoints().size(); }
     bool hasEndpoint(const EndpointName &name) const;
+    // The endpoint announced that it leaves: this process of it gets no new requests, whatever its
+    // registration states. Returns false if that was known.
+    bool markLeaving(const fleet::Endpoint &endpoint, Instant now);
+    // True if the registration states that the endpoint leaves, or it announced that.
+    bool isLeaving(const fleet::Endpoint &endpoint) const;
 
     // Takes one request from the team's limit; RateLimited with a retry time if none is left.
     // Requests that begin a program are refused earlier, so that programs in progress can finish.
@@ -87,6 +93,7 @@
     Incarnation m_self;
     fleet::PolicyPtr m_policy;
     fleet::EndpointDirectory m_directory;
+    fleet::LeavingEndpoints m_leaving;
     placement::Placement m_placement;
     turns::TurnTable m_turns;
     turns::BudgetLedger m_budgets;
--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -219,6 +219,11 @@
         }
         const AnswerFacts facts =
             Dialect::answerFacts(answer.value()->status(), answer.value()->headers());
+        // The sender of a misdirected answer is not this endpoint.
+        if (facts.isLeaving && !facts.isMisdirected
+            && m_state.markLeaving(endpoint, MonotonicClock().now())) {
+            m_log.leaving(*context, endpoint);
+        }
         if (facts.isNotRun || facts.isMisdirected) {
             m_state.placement().onFinished(endpoint.name, context->work);
             context->tried.insert(endpoint.name);
--- a/basilhall/gateway/internal/call_log.cpp
+++ b/basilhall/gateway/internal/call_log.cpp
@@ -52,6 +52,12 @@
                Field("send", context.sends));
 }
 
+void CallLog::leaving(const CallContext &context, const fleet::Endpoint &endpoint)
+{
+    m_log.info("Endpoint announces that it leaves.", Field("call", context.call.id),
+               Field("endpoint", endpoint.name), Field("started", endpoint.startedAt));
+}
+
 void CallLog::overloaded(const CallContext &context, const placement::EngineLoad &load)
 {
     m_log.info("The first turn of a program is refused because of overload.",
--- a/basilhall/gateway/internal/call_log.h
+++ b/basilhall/gateway/internal/call_log.h
@@ -24,6 +24,8 @@
     void started();
     // An endpoint stated that it has not run the request.
     void notRun(const CallContext &context, int status);
+    // An endpoint announced for the first time that it leaves.
+    void leaving(const CallContext &context, const fleet::Endpoint &endpoint);
     // The first turn of a program is refused.
     void overloaded(const CallContext &context, const placement::EngineLoad &load);
     // An attempt failed; the request may have run.
