Refuse fewer urgent programs than others in a deep overload too

The fault is in the code: one maximum of 0.7 held for both, so from 118 % of the slots urgent programs were refused as often as others, though the header and platform.md say that less urgent ones are refused first. The maximum is now 0.8 for the others; urgent programs keep 0.7, since admitting more of them prolongs the overload. Some of each kind are still served.

Now checked: the old statements at 110, 140 and 10,000 requests.

--- a/basilhall/placement/program_admission.cpp
+++ b/basilhall/placement/program_admission.cpp
@@ -17,10 +17,11 @@
 constexpr double kMaxStretch = 2.2;
 // Load, relative to the limits above, from which the most urgent programs are refused too.
 constexpr double kUrgentLoad = 1.2;
-// Load above the limit at which all programs would be refused, and the share that never is: some
-// of each kind are served even in the longest overload.
+// Load above the limit at which all programs would be refused, and the shares that are refused at
+// most: some of each kind are served even in the longest overload, and more of the urgent ones.
 constexpr double kLoadRange = 0.4;
-constexpr double kMaxRefusedShare = 0.7;
+constexpr double kMaxRefusedShare = 0.8;
+constexpr double kMaxRefusedUrgentShare = 0.7;
 constexpr std::uint64_t kHashBuckets = 1024;
 
 } // namespace
@@ -36,7 +37,8 @@
     }
     const double relative = std::max(occupancy / kFullOccupancy, load.stretch / kMaxStretch);
     const double limit = priority == 0 ? kUrgentLoad : 1.0;
-    return std::clamp((relative - limit) / kLoadRange, 0.0, kMaxRefusedShare);
+    const double maxShare = priority == 0 ? kMaxRefusedUrgentShare : kMaxRefusedShare;
+    return std::clamp((relative - limit) / kLoadRange, 0.0, maxShare);
 }
 
 bool refusesProgram(const EngineLoad &load, std::uint32_t priority, std::uint64_t programHash)
--- a/basilhall/placement/program_admission_test.cpp
+++ b/basilhall/placement/program_admission_test.cpp
@@ -100,9 +100,11 @@
     const EngineLoad full{95, 100, 1};
     BOOST_TEST(refusedShare(full, 1) > 0.0);
     BOOST_TEST(refusedShare(full, 0) == 0.0);
-    const EngineLoad queued{110, 100, 1};
-    BOOST_TEST(refusedShare(queued, 0) > 0.0);
-    BOOST_TEST(refusedShare(queued, 1) > refusedShare(queued, 0));
+    for (const std::uint64_t requests : {110, 140, 10'000}) {
+        const EngineLoad queued{requests, 100, 1};
+        BOOST_TEST(refusedShare(queued, 0) > 0.0);
+        BOOST_TEST(refusedShare(queued, 1) > refusedShare(queued, 0));
+    }
 }
 
 BOOST_AUTO_TEST_CASE(slowEnginesCountAsOverloaded)
