A late list of gateways does not replace a process that is subscribed

After a restart of all, a gateway that had connected to its peers read a list that still had the process before on one host, dropped the running one, and was not connected to it for 8 s, until it removed that registration, which was the running one's by then.

Cause: forgot a subscription once a list named the same process, so a later, older list won; before, it was kept for 3 s. Now the last subscription of each host counts while it lives, whatever lists say.

gatewayThatCannotRegisterStaysAMemberWhileItIsSubscribed has the case now; it failed before and passes.

--- a/basilhall/gateway/membership.cpp
+++ b/basilhall/gateway/membership.cpp
@@ -100,8 +100,8 @@
         });
     }
 
-    // Returns the registered gateways and those that are known only by their subscription. A
-    // subscription is newer than the registration of the host.
+    // Returns the registered and the subscribed gateways. Of a host, the process that subscribed
+    // last is the member: a registration may be older, or may be read late.
     std::map<HostName, Member> members() const
     {
         std::map<HostName, Member> all = registered;
@@ -121,25 +121,22 @@
         mesh.setMembers(others);
     }
 
-    bool isObsolete(const Subscription &subscription) const
+    bool isLive(const Subscription &subscription) const
     {
-        const Member &member = subscription.member;
-        const auto known = registered.find(member.host);
-        return (known != registered.end() && known->second == member)
-            || (!isRecent(subscription) && !mesh.hasSubscriber(member.incarnation));
+        return mesh.hasSubscriber(subscription.member.incarnation);
     }
 
-    static bool isRecent(const Subscription &subscription)
+    bool isObsolete(const Subscription &subscription) const
     {
-        return MonotonicClock().now() - subscription.at <= kRegistrationDelay;
+        const bool isRecent = MonotonicClock().now() - subscription.at <= kRegistrationDelay;
+        return !isRecent && !isLive(subscription);
     }
 
-    // Keeps a gateway that is no longer registered, but still subscribed, among the members.
-    void keepIfSubscribed(const Member &member)
+    void eraseIfEnded(const HostName &host)
     {
-        if (member.host != self.host && mesh.hasSubscriber(member.incarnation)) {
-            const Instant at = MonotonicClock().now() - kRegistrationDelay;
-            subscribed.try_emplace(member.host, Subscription{member, at});
+        const auto found = subscribed.find(host);
+        if (found != subscribed.end() && !isLive(found->second)) {
+            subscribed.erase(found);
         }
     }
 
@@ -149,7 +146,7 @@
     logging::Log log;
     asio::steady_timer timer;
     std::map<HostName, Member> registered;
-    // Gateways whose subscription is newer than the registration of their host.
+    // The last subscription of each host.
     std::map<HostName, Subscription> subscribed;
     std::set<HostName> pendingRemovals;
     // The registration of this process was accepted, or has been in a list.
@@ -184,24 +181,10 @@
 
 void Membership::setAll(const std::vector<Member> &members)
 {
-    std::map<HostName, Member> listed;
+    d->registered.clear();
     for (const Member &member : members) {
-        listed.emplace(member.host, member);
-    }
-    for (const auto &[host, member] : d->registered) {
-        if (!listed.contains(host)) {
-            d->keepIfSubscribed(member);
-        }
+        d->registered.emplace(member.host, member);
     }
-    std::erase_if(d->subscribed, [&](const auto &entry) {
-        // A registration that has changed since is that of a later process on the host. The list
-        // may be older than a recent subscription.
-        const auto now = listed.find(entry.first);
-        const auto before = d->registered.find(entry.first);
-        return now != listed.end() && !Private::isRecent(entry.second)
-            && (before == d->registered.end() || before->second != now->second);
-    });
-    d->registered = std::move(listed);
     d->updateMesh();
     const auto own = d->registered.find(d->self.host);
     if (own != d->registered.end()) {
@@ -214,20 +197,16 @@
 
 void Membership::set(const Member &member)
 {
-    d->subscribed.erase(member.host);
+    d->eraseIfEnded(member.host);
     d->registered.insert_or_assign(member.host, member);
     d->updateMesh();
 }
 
 void Membership::onSubscribed(const Member &member)
 {
-    const std::map<HostName, Member> members = d->members();
-    const auto known = members.find(member.host);
-    if (known == members.end() || known->second != member) {
-        d->subscribed.insert_or_assign(member.host,
-                                       Private::Subscription{member, MonotonicClock().now()});
-        d->updateMesh();
-    }
+    d->subscribed.insert_or_assign(member.host,
+                                   Private::Subscription{member, MonotonicClock().now()});
+    d->updateMesh();
 }
 
 std::vector<Member> Membership::registered() const
@@ -241,11 +220,8 @@
 
 void Membership::remove(const HostName &host)
 {
-    const auto known = d->registered.find(host);
-    if (known != d->registered.end()) {
-        d->keepIfSubscribed(known->second);
-        d->registered.erase(known);
-    }
+    d->eraseIfEnded(host);
+    d->registered.erase(host);
     d->updateMesh();
     if (host == d->self.host && !d->hasLeft) {
         // A peer removed the registration because it considered this host lost.
--- a/basilhall/gateway/membership.h
+++ b/basilhall/gateway/membership.h
@@ -34,9 +34,9 @@
     // Removes the registration of this gateway; calls `done` once, also on failure.
     void leave(std::function<void()> done);
 
-    // Apply registrations from the object API. A gateway that is subscribed to this one stays a
-    // member without a registration: it runs, although it cannot register or was silent. A list may
-    // be older than a recent subscription.
+    // Apply registrations from the object API. Of each host, the process that is subscribed to this
+    // gateway is the member, also without a registration or with that of another process: it runs,
+    // although it cannot register or was silent, and a list may be older than its subscription.
     void setAll(const std::vector<Member> &members);
     void set(const Member &member);
     // Applies the registration that a peer sent with its subscription.
--- a/basilhall/gateway/unlisted_gateway_test.cpp
+++ b/basilhall/gateway/unlisted_gateway_test.cpp
@@ -163,6 +163,12 @@
     wait(3200ms);
     membership.setAll({strong->mesh.member()});
     BOOST_TEST(strong->mesh.memberCount() == 1U);
+    // A late list still has an earlier process of the host.
+    Member earlier = weak->mesh.member();
+    earlier.incarnation = Incarnation("weak-0");
+    membership.setAll({strong->mesh.member(), weak->mesh.member()});
+    membership.setAll({strong->mesh.member(), earlier});
+    BOOST_TEST(strong->mesh.liveIncarnations().contains(weak->mesh.member().incarnation));
     // Its registration arrives, and is removed because it was silent elsewhere.
     membership.set(weak->mesh.member());
     membership.remove(weak->mesh.member().host);
