--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -4,6 +4,7 @@
 #include "basilhall/gateway/document_exchange.h"
 #include "basilhall/gateway/gateway.pb.h"
 #include "basilhall/gateway/internal/peer_requests.h"
+#include "basilhall/gateway/internal/turn_search_replies.h"
 #include "basilhall/gateway/internal/update_codec.h"
 #include "basilhall/gateway/journal_reader.h"
 #include "basilhall/gateway/record_codec.h"
@@ -418,25 +419,10 @@
         return sorted;
     }
 
-    // What the peers replied to a search.
-    struct SearchReplies {
-        bool isFound = false;
-        // A holder that knows all turns of the gateways that it lists.
-        std::optional<HostName> completeHolder;
-        std::set<Incarnation> replied;
-        std::set<Incarnation> listed;
-
-        // True if every gateway that a holder lists has replied.
-        bool includeAllListed() const
-        {
-            return std::includes(replied.begin(), replied.end(), listed.begin(), listed.end());
-        }
-    };
-
-    // Asks one peer for a turn.
-    static asio::awaitable<void> askForTurn(std::shared_ptr<Private> self,
+    // Asks one peer for a turn. Returns true if it has the turn.
+    static asio::awaitable<bool> askForTurn(std::shared_ptr<Private> self,
                                             std::shared_ptr<Peer> peer, turns::TurnId id,
-                                            bool mayReadJournals, SearchReplies &replies)
+                                            bool mayReadJournals, TurnSearchReplies &replies)
     {
         wire::TurnRequest request;
         request.set_turn_id(id.value());
@@ -450,19 +436,14 @@
         // A process that replaced the peer on its host does not know the turns of its predecessor.
         if (!message || !reply.ParseFromString(*message)
             || reply.incarnation() != peer->member.incarnation.value()) {
-            co_return;
-        }
-        replies.replied.insert(peer->member.incarnation);
-        for (const std::string &member : reply.members()) {
-            replies.listed.insert(Incarnation(member));
+            co_return false;
         }
+        replies.add(peer->member.incarnation, reply.complete(),
+                    {reply.members().begin(), reply.members().end()});
         for (const journal::TurnKept &turn : reply.turns()) {
             self->keeper.addTurn(turn);
         }
-        replies.isFound = reply.turns_size() > 0;
-        if (reply.complete()) {
-            replies.completeHolder = peer->member.host;
-        }
+        co_return reply.turns_size() > 0;
     }
 
     // Asks all peers for what they have in memory first. Only if none has the turn, a holder reads
@@ -470,43 +451,30 @@
     static asio::awaitable<TurnSearch> findTurn(std::shared_ptr<Private> self, turns::TurnId id)
     {
         const std::vector<std::shared_ptr<Peer>> asked = self->peersHoldersFirst();
-        SearchReplies replies;
-        replies.replied.insert(self->self.incarnation);
+        TurnSearchReplies replies(self->self.incarnation, asked.size());
         for (const auto &peer : asked) {
-            co_await askForTurn(self, peer, id, false, replies);
-            if (replies.isFound) {
+            if (co_await askForTurn(self, peer, id, false, replies)) {
                 co_return TurnSearch::Found;
             }
         }
-        const bool haveAllReplied = replies.replied.size() == asked.size() + 1;
-        if (!replies.completeHolder && self->keeper.reader().hasLoadedTurns()
+        if (!replies.isComplete() && self->keeper.reader().hasLoadedTurns()
             && co_await self->keeper.reader().confirmAllTurns() && self->receivesAllTurns()) {
-            replies.completeHolder = self->self.host;
+            replies.setComplete();
         }
         if (self->state.turns().hasWholeChain(id)) {
             co_return TurnSearch::Found;
         }
         for (const auto &peer : asked) {
-            if (replies.completeHolder) {
-                break;
-            }
-            if (self->isHolderAmong(peer->member)) {
-                co_await askForTurn(self, peer, id, true, replies);
-            }
-            if (replies.isFound) {
+            if (!replies.isComplete() && self->isHolderAmong(peer->member)
+                && co_await askForTurn(self, peer, id, true, replies)) {
                 co_return TurnSearch::Found;
             }
         }
         self->log.info("No peer knows the turn.", Field("turn", id), Field("asked", asked.size()),
-                       Field("replied", replies.replied.size() - 1),
-                       Field("complete", replies.completeHolder.has_value()),
-                       Field("holder", replies.completeHolder.value_or(HostName())),
-                       Field("listed", replies.listed.size()),
+                       Field("missing", replies.missing()), Field("complete", replies.isComplete()),
+                       Field("holder", replies.completeHolder()),
                        Field("all_listed_replied", replies.includeAllListed()));
-        if (!haveAllReplied || !replies.includeAllListed()) {
-            co_return TurnSearch::Incomplete;
-        }
-        co_return replies.completeHolder ? TurnSearch::Unknown : TurnSearch::UnknownToPeers;
+        co_return replies.verdict();
     }
 
     // Sends one request and returns the reply, if it arrives within `timeout`.
