--- a/basilhall/gateway/internal/peer_requests.cpp
+++ b/basilhall/gateway/internal/peer_requests.cpp
@@ -114,7 +114,8 @@
     reply.set_verdict(wire::ADMIT_VERDICT_ELSEWHERE);
     for (std::uint32_t round = 0; m_keeper.knowsLedger() && round < kAdmissionRounds; ++round) {
         turns::BudgetLedger &budgets = m_state.budgets();
-        if (budgets.isOrphan(turn.program) && m_keeper.reader().mayMissSpending()) {
+        if (budgets.isOrphan(turn.program)
+            && m_keeper.reader().mayMissSpendingOf(budgets.home(turn.program))) {
             // The lost home may have written spending that it did not send.
             Result<void> read = Error(ErrorKind::StoreUnavailable,
                                       "the object API is unavailable, so journals cannot be read");
--- a/basilhall/gateway/journal_reader.cpp
+++ b/basilhall/gateway/journal_reader.cpp
@@ -387,7 +387,12 @@
 
 bool JournalReader::mayMissSpending() const
 {
-    return !d->unreadSpending.empty() || !d->open.isEmpty();
+    return !d->unreadSpending.empty();
+}
+
+bool JournalReader::mayMissSpendingOf(const Incarnation &home) const
+{
+    return mayMissSpending() || d->open.contains(home);
 }
 
 void JournalReader::noteMissedTurns(const Incarnation &peer, std::uint64_t lastKnown)
--- a/basilhall/gateway/journal_reader.h
+++ b/basilhall/gateway/journal_reader.h
@@ -71,6 +71,9 @@
     // True if a journal may contain unknown spending. This gateway must not become the home of a
     // program then.
     bool mayMissSpending() const;
+    // The same for a program whose home was `home`, which may still run and admit turns if its
+    // journal is open.
+    bool mayMissSpendingOf(const Incarnation &home) const;
     // Returns the journals that may contain unknown batches, each with the last known batch.
     const std::map<Incarnation, std::uint64_t> &unreadJournals() const;
     // True if loadTurns() has succeeded.
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -1224,7 +1224,8 @@
                         "no gateway that can be the home of the program is connected");
     }
     if (!home) {
-        if (self->keeper.reader().mayMissSpending()) {
+        const Incarnation lostHome = self->state.budgets().home(turn.program);
+        if (self->keeper.reader().mayMissSpendingOf(lostHome)) {
             // The lost home may have written spending that it did not send.
             if (!self->keeper.canPersist()) {
                 co_return Error(ErrorKind::StoreUnavailable,
--- a/basilhall/gateway/testing/mesh_fixture.h
+++ b/basilhall/gateway/testing/mesh_fixture.h
@@ -95,6 +95,15 @@
         }
     }
 
+    // Returns a holder of another failure domain that writes for it.
+    std::shared_ptr<MeshNode> makeWriter()
+    {
+        auto writer = std::make_shared<MeshNode>(context, objects, "writer", 400, "b");
+        writer->keeper.setLoaded();
+        writer->keeper.setLedgerKnown();
+        return writer;
+    }
+
     // Connects all nodes to each other and waits until they receive updates.
     void connect()
     {
