A fetched document that is older than the local one by its arrival is not applied

A list of gateways or endpoints was applied whatever had arrived during its fetch; only the offer to peers compared versions. An older list could drop a running gateway or bring back an endpoint that had left, and as the watch does not repeat the change, for good.

--- a/basilhall/gateway/document_exchange.cpp
+++ b/basilhall/gateway/document_exchange.cpp
@@ -30,9 +30,14 @@
     return found == m_local.end() ? 0 : found->second;
 }
 
+bool DocumentExchange::isNewer(DocumentKind kind, std::uint64_t version) const
+{
+    return version > localVersion(kind);
+}
+
 void DocumentExchange::setLocal(DocumentKind kind, std::uint64_t version)
 {
-    if (version <= localVersion(kind)) {
+    if (!isNewer(kind, version)) {
         return;
     }
     m_local[kind] = version;
@@ -51,7 +56,7 @@
     entry.domain = domain;
     entry.versions = versions;
     for (const auto &[kind, version] : versions) {
-        if (version > localVersion(kind)) {
+        if (isNewer(kind, version)) {
             entry.newerSince.try_emplace(kind, now);
         } else {
             entry.newerSince.erase(kind);
--- a/basilhall/gateway/document_exchange.h
+++ b/basilhall/gateway/document_exchange.h
@@ -42,6 +42,8 @@
     // This gateway has the version; lower versions than before are ignored.
     void setLocal(DocumentKind kind, std::uint64_t version);
     const DocumentVersions &local() const { return m_local; }
+    // True if a fetched version is to be applied. A newer one may have arrived during the fetch.
+    bool isNewer(DocumentKind kind, std::uint64_t version) const;
     void onPeerVersions(const HostName &peer, const FailureDomain &domain,
                         const DocumentVersions &versions, Instant now);
     void onPeerLost(const HostName &peer);
--- a/basilhall/gateway/document_exchange_test.cpp
+++ b/basilhall/gateway/document_exchange_test.cpp
@@ -43,6 +43,16 @@
     BOOST_TEST(due(kNow + 10s).empty());
 }
 
+BOOST_AUTO_TEST_CASE(versionThatIsOvertakenDuringItsFetchIsNotApplied)
+{
+    exchange.setLocal(DocumentKind::Members, 5);
+    exchange.onPeerVersions(kPeer, kLocal, {{DocumentKind::Members, 6}}, kNow);
+    BOOST_TEST(due(kNow).size() == 1U);
+    BOOST_TEST(exchange.isNewer(DocumentKind::Members, 6));
+    exchange.setLocal(DocumentKind::Members, 7);
+    BOOST_TEST(!exchange.isNewer(DocumentKind::Members, 6));
+}
+
 BOOST_AUTO_TEST_CASE(otherDomainsAreAskedOnlyIfTheOwnOneStaysBehind)
 {
     exchange.setLocal(DocumentKind::Policy, 5);
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -302,7 +302,7 @@
         }
         wire::DocumentReply reply;
         const bool isFetched = message && reply.ParseFromString(*message) && reply.version() > 0;
-        if (isFetched) {
+        if (isFetched && self->exchange.isNewer(fetch.kind, reply.version())) {
             self->onDocument({fetch.kind, reply.version(), reply.content()});
         }
         const auto known = self->exchange.local().find(fetch.kind);
