--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -470,10 +470,13 @@
                 co_return TurnSearch::Found;
             }
         }
-        self->log.info("No peer knows the turn.", Field("turn", id), Field("asked", asked.size()),
-                       Field("missing", replies.missing()), Field("complete", replies.isComplete()),
-                       Field("holder", replies.completeHolder()),
-                       Field("all_listed_replied", replies.includeAllListed()));
+        // Without all replies the caller retries, many times while gateways restart.
+        if (replies.missing() == 0) {
+            self->log.info("No peer knows the turn.", Field("turn", id),
+                           Field("asked", asked.size()), Field("complete", replies.isComplete()),
+                           Field("holder", replies.completeHolder()),
+                           Field("all_listed_replied", replies.includeAllListed()));
+        }
         co_return replies.verdict();
     }
 
