A home that was cut off from all other holders reads what they admitted before it admits

The log shows the home cut off from 3 s to 12.1 s; another holder took its programs over and used their budgets up; 0.1 s after the store was back, and 0.35 s before its peers were connected, the first home admitted turns on its totals of 9 s before.

Now a holder that is connected to no other holder, although others may run, reads their journals before it admits turns of its own programs. homeThatWasCutOffReadsWhatOthersAdmittedBeforeItAdmits failed before and passes. spendingOfAnUnlistedHomeIsReadBeforeAnotherOneAdmits asks the home on Elsewhere too, as the forwarder does.

--- a/basilhall/gateway/journal_reader.cpp
+++ b/basilhall/gateway/journal_reader.cpp
@@ -385,6 +385,11 @@
     d->cleaner.extendLedger(peer, spendingKeptUntil());
 }
 
+bool JournalReader::hasOpenJournals() const
+{
+    return !d->open.isEmpty();
+}
+
 bool JournalReader::mayMissSpending() const
 {
     return !d->unreadSpending.empty();
--- a/basilhall/gateway/journal_reader.h
+++ b/basilhall/gateway/journal_reader.h
@@ -68,6 +68,7 @@
     bool isOpenReadDue() const;
     // True if all turns are known and no journal has to be read to be sure of it.
     bool knowsAllTurns() const;
+    bool hasOpenJournals() const;
     // True if a journal may contain unknown spending. This gateway must not become the home of a
     // program then.
     bool mayMissSpending() const;
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -331,6 +331,39 @@
         return member.failureDomain == self.failureDomain && outranks(member, self);
     }
 
+    // True if other holders may run, but none is connected: they may have become the homes of the
+    // programs of this one.
+    bool isPartedFromHolders() const
+    {
+        bool isAnyRegistered = false;
+        for (const auto &[host, peer] : peers) {
+            if (isHolderAmong(peer->member)) {
+                isAnyRegistered = true;
+                if (peer->isConnected) {
+                    return false;
+                }
+            }
+        }
+        return isHolder && (isAnyRegistered || keeper.reader().hasOpenJournals());
+    }
+
+    void updateMustConfirm() { state.budgets().setMustConfirm(isPartedFromHolders()); }
+
+    // Reads what other holders have admitted since they are not connected.
+    static asio::awaitable<Result<void>> readPartedHolders(std::shared_ptr<Private> self)
+    {
+        if (!self->keeper.canPersist()) {
+            co_return Error(ErrorKind::StoreUnavailable,
+                            "the object API is unavailable, so journals cannot be read");
+        }
+        for (const auto &[host, peer] : self->peers) {
+            if (self->isHolderAmong(peer->member) && !peer->isConnected) {
+                self->keeper.reader().noteLostPeer(peer->member.incarnation, peer->durableBatch);
+            }
+        }
+        co_return co_await self->keeper.reader().refresh();
+    }
+
     // Sends a "/want" request that states whether this gateway wants turns.
     static asio::awaitable<void> sendWant(std::shared_ptr<Private> self, std::shared_ptr<Peer> peer)
     {
@@ -645,6 +678,7 @@
         broadcast(update);
         updateLimitShare();
         updateHolder();
+        updateMustConfirm();
         fetchDocuments();
     }
 
@@ -707,6 +741,7 @@
                                   Field("incarnation", peer->member.incarnation));
                 self->state.placement().onPeerLost(peer->member.incarnation);
                 self->state.budgets().onPeerLost(peer->member.incarnation);
+                self->updateMustConfirm();
             }
             pause.expires_after(kReconnectPause);
             (void)co_await pause.async_wait(kTuple);
@@ -849,6 +884,7 @@
             peer->knowsLedger = update.knows_ledger();
             self->noteBatch(*peer, update.durable_batch());
             applyUpdate(update, now(), self->state);
+            self->updateMustConfirm();
             if (update.has_policy()) {
                 self->onDocument(
                     {DocumentKind::Policy, update.policy().version(), update.policy().document()});
@@ -969,6 +1005,7 @@
         }
     }
     d->peers = std::move(kept);
+    d->updateMustConfirm();
 }
 
 std::vector<HostName> PeerMesh::silentMembers(Duration silence) const
@@ -1218,6 +1255,13 @@
 asio::awaitable<Result<turns::Admission>> PeerMesh::askHome(turns::TurnBudget turn)
 {
     const auto self = d;
+    if (self->state.budgets().home(turn.program) == self->self.incarnation) {
+        const Result<void> read = co_await Private::readPartedHolders(self);
+        if (!read) {
+            co_return read.error();
+        }
+        co_return self->state.budgets().grant(self->self.incarnation, turn, Private::now());
+    }
     std::shared_ptr<Peer> home = self->peerOf(self->state.budgets().home(turn.program));
     if (!home) {
         home = self->newHomeOf(turn.program);
--- a/basilhall/gateway/unlisted_gateway_test.cpp
+++ b/basilhall/gateway/unlisted_gateway_test.cpp
@@ -141,13 +141,55 @@
     Result<turns::Admission> admission = turns::Admission::Elsewhere;
     for (int i = 0; i < 3 && admission && admission.value() == turns::Admission::Elsewhere; ++i) {
         admission = strong->state.budgets().admit(asked, MonotonicClock().now());
-        if (admission.value() == turns::Admission::Orphaned) {
+        if (admission.value() == turns::Admission::Orphaned
+            || admission.value() == turns::Admission::Elsewhere) {
             admission = askHome(*strong, asked);
         }
     }
     BOOST_TEST((admission && admission.value() == turns::Admission::Exhausted));
 }
 
+// Another holder admitted its programs while it was cut off.
+BOOST_AUTO_TEST_CASE(homeThatWasCutOffReadsWhatOthersAdmittedBeforeItAdmits)
+{
+    const ProgramId program("p");
+    const auto writer = makeWriter();
+    middle = writer;
+    connectWithLoadedHolder();
+    flushUntil([&] { return writer->mesh.isSubscribedToTurns() && writer->mesh.isHolder(); });
+    const turns::TurnBudget asked{program, kTeam, 1000, 200};
+    strong->state.budgets().claim(program, MonotonicClock().now());
+    BOOST_TEST((strong->state.budgets().admit(asked, MonotonicClock().now())
+                == turns::Admission::Admitted));
+    flushUntil([&] { return writer->state.budgets().knows(program); });
+    writer->mesh.setMembers({weak->mesh.member()});
+    strong->mesh.setMembers({weak->mesh.member()});
+    flushUntil([&] { return writer->state.budgets().isOrphan(program); });
+    for (int i = 0; i < 12; ++i) {
+        turns::Admission admission = writer->state.budgets().admit(asked, MonotonicClock().now());
+        if (admission == turns::Admission::Orphaned || admission == turns::Admission::Elsewhere) {
+            (void)askHome(*writer, asked);
+        } else if (admission == turns::Admission::NeedsRecord) {
+            runCoroutine(context, [&]() -> asio::awaitable<void> {
+                const Result<void> covered = co_await writer->keeper.cover(program, 2s);
+                BOOST_TEST(covered.has_value());
+            });
+        }
+    }
+    BOOST_TEST(writer->state.budgets().spent(program) >= 1000U);
+    runCoroutine(context, [&]() -> asio::awaitable<void> {
+        const Result<void> covered = co_await writer->keeper.cover(program, 2s);
+        BOOST_TEST(covered.has_value());
+    });
+    turns::Admission admission = strong->state.budgets().admit(asked, MonotonicClock().now());
+    if (admission == turns::Admission::Elsewhere) {
+        const auto answer = askHome(*strong, asked);
+        BOOST_TEST_REQUIRE(answer.has_value());
+        admission = answer.value();
+    }
+    BOOST_TEST((admission == turns::Admission::Exhausted));
+}
+
 // The store refuses its registration, so no list includes it.
 BOOST_AUTO_TEST_CASE(gatewayThatCannotRegisterStaysAMemberWhileItIsSubscribed)
 {
--- a/basilhall/turns/budget_ledger.cpp
+++ b/basilhall/turns/budget_ledger.cpp
@@ -132,7 +132,7 @@
     if (isOrphan(entry)) {
         return Admission::Orphaned;
     }
-    if (entry.home != m_self) {
+    if (entry.home != m_self || m_mustConfirm) {
         return Admission::Elsewhere;
     }
     const Admission verdict = admission(entry, turn, now);
--- a/basilhall/turns/budget_ledger.h
+++ b/basilhall/turns/budget_ledger.h
@@ -82,6 +82,9 @@
 public:
     explicit BudgetLedger(Incarnation self);
 
+    // While set, admit() returns Elsewhere for programs of this home: other gateways may have
+    // become their homes, so that their spending has to be read before grant() is called.
+    void setMustConfirm(bool mustConfirm) { m_mustConfirm = mustConfirm; }
     // Requests admission of a turn that runs here; on Admitted the turn is in flight.
     Admission admit(const TurnBudget &turn, Instant now);
     // Admits a turn that `asker` will run, as the home of the program. Claims a program without a
@@ -189,6 +192,7 @@
     static Admission admission(Account &account, const TurnBudget &turn, Instant now);
     SpendReport report(const ProgramId &program, const Account &account) const;
 
+    bool m_mustConfirm = false;
     Incarnation m_self;
     std::unordered_map<ProgramId, Account> m_programs;
     std::vector<ProgramId> m_changedPrograms;
