A failed read of journals is not repeated at once

Calls within 500 ms of a failed read fail at once, and a home does not read while the store is known to fail.

--- a/basilhall/gateway/journal_reader.cpp
+++ b/basilhall/gateway/journal_reader.cpp
@@ -30,6 +30,9 @@
 // Interval at which open journals are read in any case; their writers keep batches for four times
 // as long.
 constexpr Duration kOpenJournalInterval = std::chrono::seconds(30);
+// Pause after a failed read. Calls within it fail at once, so that requests are refused instead of
+// waiting for one time limit of the object API after the other.
+constexpr Duration kFailedReadPause = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -260,12 +263,15 @@
         while (self->isRefreshing) {
             co_await self->refreshed.wait();
         }
-        if (self->refreshesBegun >= wanted) {
+        const bool hasJustFailed =
+            !self->lastRefresh && now() - self->lastRefreshAt < kFailedReadPause;
+        if (self->refreshesBegun >= wanted || hasJustFailed) {
             co_return self->lastRefresh;
         }
         self->isRefreshing = true;
         ++self->refreshesBegun;
         self->lastRefresh = co_await readUnreadJournals(self);
+        self->lastRefreshAt = now();
         self->isRefreshing = false;
         self->refreshed.notify();
         co_return self->lastRefresh;
@@ -294,6 +300,7 @@
     bool isRefreshing = false;
     transport::Signal refreshed;
     Result<void> lastRefresh = success();
+    Instant lastRefreshAt;
 };
 
 JournalReader::JournalReader(const asio::any_io_executor &executor, StoreAccess access,
--- a/basilhall/gateway/journal_reader.h
+++ b/basilhall/gateway/journal_reader.h
@@ -44,7 +44,7 @@
     // one; the journals of others become open, unless a later process runs on their host.
     boost::asio::awaitable<Result<void>> loadTurns(RunningGateways running);
     // Reads the unread batches of the unread and of the open journals. The read starts after the
-    // call.
+    // call. Fails at once if the last read has just failed.
     boost::asio::awaitable<Result<void>> refresh();
     // Returns true if all turns that were durable before the call are known. Reads the unread and
     // the open journals for this; false if that is not possible, or before loadTurns().
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -352,7 +352,7 @@
     // Reads what other holders have admitted since they are not connected.
     static asio::awaitable<Result<void>> readPartedHolders(std::shared_ptr<Private> self)
     {
-        if (!self->keeper.canPersist()) {
+        if (!self->keeper.canPersist() || self->keeper.storeFailingFor() > Duration::zero()) {
             co_return Error(ErrorKind::StoreUnavailable,
                             "the object API is unavailable, so journals cannot be read");
         }
--- a/basilhall/gateway/peer_mesh_test.cpp
+++ b/basilhall/gateway/peer_mesh_test.cpp
@@ -173,6 +173,7 @@
     const auto unsure = prompt(*weak, "none");
     BOOST_TEST((!unsure && unsure.error().kind() == ErrorKind::Unavailable));
     strong->isCutFromStore = false;
+    wait(600ms);
     const auto sureAgain = prompt(*weak, "none");
     BOOST_TEST((!sureAgain && sureAgain.error().kind() == ErrorKind::NotFound));
 }
--- a/basilhall/gateway/unlisted_gateway_test.cpp
+++ b/basilhall/gateway/unlisted_gateway_test.cpp
@@ -149,6 +149,29 @@
     BOOST_TEST((admission && admission.value() == turns::Admission::Exhausted));
 }
 
+// Requests that wait for a read while the object API does not answer would wait one after the
+// other.
+BOOST_AUTO_TEST_CASE(failedReadIsNotRepeatedAtOnce)
+{
+    connectWithLoadedHolder();
+    removeSilent(*middle);
+    strong->isCutFromStore = true;
+    const int calls = strong->calls;
+    for (int i = 0; i < 3; ++i) {
+        runCoroutine(context, [&]() -> asio::awaitable<void> {
+            const Result<void> read = co_await strong->keeper.reader().refresh();
+            BOOST_TEST(!read.has_value());
+        });
+    }
+    BOOST_TEST(strong->calls == calls + 1);
+    strong->isCutFromStore = false;
+    wait(600ms);
+    runCoroutine(context, [&]() -> asio::awaitable<void> {
+        const Result<void> read = co_await strong->keeper.reader().refresh();
+        BOOST_TEST(read.has_value());
+    });
+}
+
 // Another holder admitted its programs while it was cut off.
 BOOST_AUTO_TEST_CASE(homeThatWasCutOffReadsWhatOthersAdmittedBeforeItAdmits)
 {
