Gateways log the request limits that endpoints state in their answers

The gateway now reads it from each answer, keeps what was stated last for each process of an endpoint (placement/named_limits) and logs when it begins, changes or ends. Nothing acts on it yet.

An answer without a limit ends it only if the endpoint signed it: an endpoint in need may refuse requests without repeating it.

--- a/basilhall/gateway/call.h
+++ b/basilhall/gateway/call.h
@@ -72,6 +72,10 @@
     bool isSigned = false;
     // The endpoint announces that it leaves and is to get no new requests.
     bool isLeaving = false;
+    // Requests a second that the endpoint takes from all gateways together; nullopt if not stated.
+    std::optional<double> requestLimit;
+    // The answer states a limit that is not a number.
+    bool isLimitMalformed = false;
     // The request that the answer belongs to; empty if not stated.
     CallId call;
 
--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -11,6 +11,7 @@
 #include "basilhall/fleet/leaving_endpoints.h"
 #include "basilhall/fleet/policy.h"
 #include "basilhall/limit/shared_rate.h"
+#include "basilhall/placement/named_limits.h"
 #include "basilhall/placement/placement.h"
 #include "basilhall/turns/budget_ledger.h"
 #include "basilhall/turns/turn_table.h"
@@ -66,6 +67,9 @@
     // The endpoint announced that it leaves: this process of it gets no new requests, whatever its
     // registration states. Returns false if that was known.
     bool markLeaving(const fleet::Endpoint &endpoint, Instant now);
+    // An answer of the endpoint stated a request limit, or that it has none. Returns false if the
+    // limit stays as it was.
+    bool noteLimit(const fleet::Endpoint &endpoint, std::optional<double> perSecond, Instant now);
     // True if the registration states that the endpoint leaves, or it announced that.
     bool isLeaving(const fleet::Endpoint &endpoint) const;
 
@@ -94,6 +98,7 @@
     fleet::PolicyPtr m_policy;
     fleet::EndpointDirectory m_directory;
     fleet::LeavingEndpoints m_leaving;
+    placement::NamedLimits m_limits;
     placement::Placement m_placement;
     turns::TurnTable m_turns;
     turns::BudgetLedger m_budgets;
--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -224,6 +224,7 @@
             && m_state.markLeaving(endpoint, MonotonicClock().now())) {
             m_log.leaving(*context, endpoint);
         }
+        noteLimit(*context, endpoint, facts);
         if (facts.isNotRun || facts.isMisdirected) {
             m_state.placement().onFinished(endpoint.name, context->work);
             context->tried.insert(endpoint.name);
@@ -250,6 +251,21 @@
         co_return answer;
     }
 
+    void noteLimit(const CallContext &context, const fleet::Endpoint &endpoint,
+                   const AnswerFacts &facts)
+    {
+        if (facts.isLimitMalformed) {
+            m_log.limitMalformed(context, endpoint);
+            return;
+        }
+        // An endpoint in need may refuse or fail requests without stating its limit again.
+        const bool isStatement = facts.requestLimit || facts.isSigned;
+        if (isStatement && !facts.isMisdirected
+            && m_state.noteLimit(endpoint, facts.requestLimit, MonotonicClock().now())) {
+            m_log.limitChanged(context, endpoint, facts.requestLimit);
+        }
+    }
+
     // Reads and discards the rest of an answer, so that its connection can be reused.
     static boost::asio::awaitable<void> drain(http::ResponseStream &stream)
     {
--- a/basilhall/gateway/internal/call_log.cpp
+++ b/basilhall/gateway/internal/call_log.cpp
@@ -58,6 +58,25 @@
                Field("endpoint", endpoint.name), Field("started", endpoint.startedAt));
 }
 
+void CallLog::limitChanged(const CallContext &context, const fleet::Endpoint &endpoint,
+                           std::optional<double> perSecond)
+{
+    if (perSecond) {
+        m_log.info("Endpoint states a request limit.", Field("call", context.call.id),
+                   Field("endpoint", endpoint.name), Field("started", endpoint.startedAt),
+                   Field("per_second", *perSecond));
+    } else {
+        m_log.info("Endpoint states no request limit any more.", Field("call", context.call.id),
+                   Field("endpoint", endpoint.name), Field("started", endpoint.startedAt));
+    }
+}
+
+void CallLog::limitMalformed(const CallContext &context, const fleet::Endpoint &endpoint)
+{
+    m_log.warning("Endpoint states a request limit that is not a number.",
+                  Field("call", context.call.id), Field("endpoint", endpoint.name));
+}
+
 void CallLog::overloaded(const CallContext &context, const placement::EngineLoad &load)
 {
     m_log.info("The first turn of a program is refused because of overload.",
--- a/basilhall/gateway/internal/call_log.h
+++ b/basilhall/gateway/internal/call_log.h
@@ -26,6 +26,10 @@
     void notRun(const CallContext &context, int status);
     // An endpoint announced for the first time that it leaves.
     void leaving(const CallContext &context, const fleet::Endpoint &endpoint);
+    // The request limit that the endpoint states has changed, or ended.
+    void limitChanged(const CallContext &context, const fleet::Endpoint &endpoint,
+                      std::optional<double> perSecond);
+    void limitMalformed(const CallContext &context, const fleet::Endpoint &endpoint);
     // The first turn of a program is refused.
     void overloaded(const CallContext &context, const placement::EngineLoad &load);
     // An attempt failed; the request may have run.
