Gateways keep the request limits that endpoints state

Change: each gateway uses its part of the limit, a token bucket that holds about one request (placement/rate_share, send_allowance, endpoint_limits). The parts add up to the limit for gateways that list the same hosts; a low limit is divided among a few gateways only, selected by rendezvous hashing, as the stock of all gateways of a large fleet would exceed it. Gateways pass on what endpoints state, with its age, also in the first update to a gateway that starts late; the newest answer counts. The one place that sends, Forwarder::sendTo, takes from the bucket, so first sends, retries and resumed streams all count. A limit ends with a signed answer that states none, or with the process that stated it. A limit below one request in 4 s still lets one pass in that time, since its end could not be seen otherwise.

If no endpoint may get a request, the request waits for its turn, those of programs that have begun first (gateway/send_queue), at most for a part of its time; if that would be exceeded it is refused at once with the time until one may be sent. While all endpoints of a service are limited, programs begin at the rate that the limits can carry, from the requests that followed first turns before (placement/program_starts).

Weighed: buckets of the whole limit from which what others sent is taken as for teams; at 2 a second and 91 gateways each would send once before it hears of the others. One gateway that grants each request: an extra hop for every request, and two grantors while gateways are parted.

--- a/basilhall/gateway/call_context.h
+++ b/basilhall/gateway/call_context.h
@@ -45,6 +45,9 @@
     Instant sentAt;
     placement::SendConditions sendConditions;
 
+    // The request is the first turn of a program that this gateway does not know.
+    bool beginsProgram = false;
+
     bool isCallerGone = false;
     std::shared_ptr<http::Cancellation> cancellation = std::make_shared<http::Cancellation>();
     // Cancels the read of the current answer; called when the caller disconnects.
--- a/basilhall/gateway/fleet_state.cpp
+++ b/basilhall/gateway/fleet_state.cpp
@@ -108,7 +108,7 @@
         m_placement.removeEndpoint(name);
     }
     m_leaving.expire(m_directory.endpoints(), now);
-    m_limits.expire(now);
+    m_placement.limits().expire(now);
     return dropped.size();
 }
 
@@ -133,12 +133,6 @@
     return isFirst;
 }
 
-bool FleetState::noteLimit(const fleet::Endpoint &endpoint, std::optional<double> perSecond,
-                           Instant now)
-{
-    return m_limits.add(endpoint.name, {endpoint.startedAt, perSecond, now});
-}
-
 bool FleetState::isLeaving(const fleet::Endpoint &endpoint) const
 {
     return endpoint.isLeaving || m_leaving.contains(endpoint);
--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -11,8 +11,8 @@
 #include "basilhall/fleet/leaving_endpoints.h"
 #include "basilhall/fleet/policy.h"
 #include "basilhall/limit/shared_rate.h"
-#include "basilhall/placement/named_limits.h"
 #include "basilhall/placement/placement.h"
+#include "basilhall/placement/program_starts.h"
 #include "basilhall/turns/budget_ledger.h"
 #include "basilhall/turns/turn_table.h"
 
@@ -67,9 +67,6 @@
     // The endpoint announced that it leaves: this process of it gets no new requests, whatever its
     // registration states. Returns false if that was known.
     bool markLeaving(const fleet::Endpoint &endpoint, Instant now);
-    // An answer of the endpoint stated a request limit, or that it has none. Returns false if the
-    // limit stays as it was.
-    bool noteLimit(const fleet::Endpoint &endpoint, std::optional<double> perSecond, Instant now);
     // True if the registration states that the endpoint leaves, or it announced that.
     bool isLeaving(const fleet::Endpoint &endpoint) const;
 
@@ -87,6 +84,7 @@
     std::vector<std::pair<TeamName, std::uint64_t>> takeAdmitted();
 
     placement::Placement &placement() { return m_placement; }
+    placement::ProgramStarts &programStarts() { return m_programStarts; }
     turns::TurnTable &turns() { return m_turns; }
     turns::BudgetLedger &budgets() { return m_budgets; }
 
@@ -98,8 +96,8 @@
     fleet::PolicyPtr m_policy;
     fleet::EndpointDirectory m_directory;
     fleet::LeavingEndpoints m_leaving;
-    placement::NamedLimits m_limits;
     placement::Placement m_placement;
+    placement::ProgramStarts m_programStarts;
     turns::TurnTable m_turns;
     turns::BudgetLedger m_budgets;
     std::unordered_map<TeamName, limit::SharedRate> m_rates;
--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -14,11 +14,16 @@
 #include "basilhall/gateway/internal/call_log.h"
 #include "basilhall/gateway/internal/route_choice.h"
 #include "basilhall/gateway/refusal.h"
+#include "basilhall/gateway/send_queue.h"
 #include "basilhall/gateway/turn_keeper.h"
 #include "basilhall/http/client.h"
 #include "basilhall/placement/program_admission.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <memory>
 #include <random>
 
@@ -83,15 +88,20 @@
         BOOST_OUTCOME_TRY(admitProgram(context));
         if (context.team != nullptr) {
             BOOST_OUTCOME_TRY(
-                m_state.admit(context.team->name, beginsProgram(context), context.arrivedAt));
+                m_state.admit(context.team->name, context.beginsProgram, context.arrivedAt));
         }
         return success();
     }
 
     // Refuses the first turn of a program while the engines are overloaded.
-    Result<void> admitProgram(const CallContext &context)
+    Result<void> admitProgram(CallContext &context)
     {
-        if (!beginsProgram(context)) {
+        context.beginsProgram = beginsProgram(context);
+        placement::ProgramStarts &starts = m_state.programStarts();
+        if (!context.beginsProgram) {
+            if (!context.call.program.isEmpty()) {
+                starts.onRequest(context.work.service, context.arrivedAt);
+            }
             return success();
         }
         const std::string &service = context.work.service;
@@ -99,7 +109,17 @@
         const placement::EngineLoad load{occupancy.requests, occupancy.slots,
                                          m_state.placement().stretch(service)};
         const std::uint64_t hash = std::hash<std::string>()(context.call.program.value());
+        if (!starts.admits(context.arrivedAt) || m_sendQueue.isAnyWaiting(SendRank::BegunProgram)) {
+            m_log.limitedProgram(context, starts.perSecond());
+            return Error(ErrorKind::Overloaded,
+                         "the endpoints that programs need have reached their request limits; no "
+                         "further program begins")
+                .withNotRun()
+                .withRetryAfter(overloadRetry(hash));
+        }
         if (!placement::refusesProgram(load, priorityOf(context), hash)) {
+            starts.onStart(context.arrivedAt);
+            starts.onRequest(service, context.arrivedAt);
             return success();
         }
         m_log.overloaded(context, load);
@@ -156,22 +176,11 @@
     boost::asio::awaitable<Result<Stream>> open(std::shared_ptr<CallContext> context)
     {
         while (true) {
-            const Instant now = MonotonicClock().now();
-            if (context->isCallerGone) {
-                co_return finalError(*context,
-                                     Error(ErrorKind::Cancelled, "the caller disconnected"));
-            }
-            if (now >= context->deadline) {
-                co_return finalError(
-                    *context,
-                    Error(ErrorKind::DeadlineExceeded, "the deadline of the request has passed"));
+            const Result<fleet::Endpoint> selected = co_await select(context);
+            if (!selected) {
+                co_return finalError(*context, selected.error());
             }
-            const fleet::Endpoint *chosen =
-                m_state.placement().choose(context->work, context->tried, m_random(), now);
-            if (chosen == nullptr) {
-                co_return finalError(*context, noEndpoint(*context));
-            }
-            const fleet::Endpoint endpoint = *chosen;
+            const fleet::Endpoint endpoint = selected.value();
             auto answer = co_await sendTo(context, endpoint);
             if (answer) {
                 co_return answer;
@@ -185,6 +194,69 @@
         }
     }
 
+    // Chooses an endpoint. While all of them have reached the limit that they state, the request
+    // waits for its turn, or is refused at once if that would take too long.
+    boost::asio::awaitable<Result<fleet::Endpoint>> select(std::shared_ptr<CallContext> context)
+    {
+        const std::string &service = context->work.service;
+        const SendRank rank = sendRank(*context);
+        const Instant lastSendAt = latestSend(rank, MonotonicClock().now(), context->deadline);
+        SendQueue::Place place;
+        while (true) {
+            const Instant now = MonotonicClock().now();
+            if (context->isCallerGone) {
+                co_return Error(ErrorKind::Cancelled, "the caller disconnected");
+            }
+            if (now >= context->deadline) {
+                co_return Error(ErrorKind::DeadlineExceeded,
+                                "the deadline of the request has passed");
+            }
+            const std::size_t ahead = m_sendQueue.ahead(service, rank, place);
+            if (ahead == 0) {
+                const fleet::Endpoint *chosen =
+                    m_state.placement().choose(context->work, context->tried, m_random(), now);
+                if (chosen != nullptr) {
+                    co_return *chosen;
+                }
+            }
+            const std::optional<Duration> first =
+                m_state.placement().sendWait(context->work, context->tried, now);
+            if (!first) {
+                co_return noEndpoint(*context);
+            }
+            const Duration wait = *first + waitBehind(service, ahead, now);
+            if (now + wait > lastSendAt) {
+                m_log.limited(*context, wait, ahead);
+                co_return limitReached(*context, wait);
+            }
+            if (!place) {
+                place = m_sendQueue.enter(service, rank);
+            }
+            boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                            std::min(wait, kMaxSendPause));
+            (void)co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+        }
+    }
+
+    // A program that begins needs several more requests, and the work of one that is cut off
+    // halfway is wasted.
+    SendRank sendRank(const CallContext &context) const
+    {
+        return context.call.program.isEmpty() || context.beginsProgram ? SendRank::Other
+                                                                       : SendRank::BegunProgram;
+    }
+
+    // Time in which the limits let `ahead` requests be sent.
+    Duration waitBehind(const std::string &service, std::size_t ahead, Instant now) const
+    {
+        const auto rates = m_state.placement().limitedRates(now);
+        const auto rate = rates.find(service);
+        return rate == rates.end() || rate->second <= 0
+            ? Duration::zero()
+            : std::chrono::duration_cast<Duration>(
+                std::chrono::duration<double>(static_cast<double>(ahead) / rate->second));
+    }
+
     // Adds notRun() to the error only if no attempt can have run; removes it otherwise.
     static Error finalError(const CallContext &context, Error error)
     {
@@ -200,7 +272,8 @@
         context->endpoint = endpoint.name;
         ++context->sends;
         context->sentAt = MonotonicClock().now();
-        context->sendConditions = m_state.placement().onSent(endpoint.name, context->work);
+        context->sendConditions =
+            m_state.placement().onSent(endpoint.name, context->work, context->sentAt);
         http::RequestOptions options;
         options.cancellation = context->cancellation;
         options.connectTimeout = kEndpointConnectTimeout;
@@ -261,7 +334,8 @@
         // An endpoint in need may refuse or fail requests without stating its limit again.
         const bool isStatement = facts.requestLimit || facts.isSigned;
         if (isStatement && !facts.isMisdirected
-            && m_state.noteLimit(endpoint, facts.requestLimit, MonotonicClock().now())) {
+            && m_state.placement().limits().onAnswer(endpoint, facts.requestLimit,
+                                                     MonotonicClock().now())) {
             m_log.limitChanged(context, endpoint, facts.requestLimit);
         }
     }
@@ -631,6 +705,7 @@
     AskHome m_askHome;
     CallLog &m_log;
     std::mt19937_64 &m_random;
+    SendQueue m_sendQueue;
 };
 
 } // namespace basilhall::gateway
--- a/basilhall/gateway/internal/call_log.cpp
+++ b/basilhall/gateway/internal/call_log.cpp
@@ -77,6 +77,21 @@
                   Field("call", context.call.id), Field("endpoint", endpoint.name));
 }
 
+void CallLog::limited(const CallContext &context, Duration wait, std::size_t ahead)
+{
+    m_log.info("All endpoints have reached their request limits.", Field("call", context.call.id),
+               Field("program", context.call.program),
+               Field("service", PublicText(context.work.service)), Field("wait", wait),
+               Field("ahead", ahead));
+}
+
+void CallLog::limitedProgram(const CallContext &context, double perSecond)
+{
+    m_log.info("The first turn of a program is refused because of request limits.",
+               Field("call", context.call.id), Field("program", context.call.program),
+               Field("programs_per_second", perSecond));
+}
+
 void CallLog::overloaded(const CallContext &context, const placement::EngineLoad &load)
 {
     m_log.info("The first turn of a program is refused because of overload.",
--- a/basilhall/gateway/internal/call_log.h
+++ b/basilhall/gateway/internal/call_log.h
@@ -30,6 +30,11 @@
     void limitChanged(const CallContext &context, const fleet::Endpoint &endpoint,
                       std::optional<double> perSecond);
     void limitMalformed(const CallContext &context, const fleet::Endpoint &endpoint);
+    // All endpoints have reached their limits, and the request would wait for too long.
+    void limited(const CallContext &context, Duration wait, std::size_t ahead);
+    // The first turn of a program is refused because of the limits of endpoints, which can carry
+    // `perSecond` programs.
+    void limitedProgram(const CallContext &context, double perSecond);
     // The first turn of a program is refused.
     void overloaded(const CallContext &context, const placement::EngineLoad &load);
     // An attempt failed; the request may have run.
--- a/basilhall/gateway/internal/route_choice.cpp
+++ b/basilhall/gateway/internal/route_choice.cpp
@@ -16,6 +16,9 @@
 constexpr Duration kMinOverloadRetry = std::chrono::milliseconds(500);
 constexpr Duration kOverloadRetrySpread = std::chrono::milliseconds(700);
 constexpr std::uint64_t kRetrySteps = 64;
+// Part of its time that a request may wait for the limits of endpoints.
+constexpr int kBegunWaitPart = 3;
+constexpr int kOtherWaitPart = 20;
 
 // Selects a service of a split route by the hash of the request identifier and the weights.
 const std::string &chooseService(const fleet::Route &route, const CallId &id)
@@ -91,6 +94,20 @@
         .withRetryAfter(kNoEndpointRetry);
 }
 
+Error limitReached(const CallContext &context, Duration wait)
+{
+    return Error(ErrorKind::Overloaded,
+                 "all endpoints of service \"" + context.work.service
+                     + "\" have reached their request limits")
+        .withRetryAfter(std::max(wait, kRefusedRetry));
+}
+
+Instant latestSend(SendRank rank, Instant now, Instant deadline)
+{
+    const Duration left = std::max(deadline - now, Duration::zero());
+    return now + left / (rank == SendRank::BegunProgram ? kBegunWaitPart : kOtherWaitPart);
+}
+
 TeamName teamOf(const CallContext &context)
 {
     return context.team == nullptr ? TeamName() : context.team->name;
--- a/basilhall/gateway/internal/route_choice.h
+++ b/basilhall/gateway/internal/route_choice.h
@@ -6,6 +6,7 @@
 
 #include "basilhall/base/result.h"
 #include "basilhall/gateway/call_context.h"
+#include "basilhall/gateway/send_queue.h"
 
 namespace basilhall::gateway
 {
@@ -25,6 +26,8 @@
 // Loading the kept turns and spending takes about a second after a restart.
 inline constexpr Duration kNotLoadedRetry = std::chrono::milliseconds(500);
 inline constexpr Duration kNoEndpointRetry = std::chrono::milliseconds(300);
+// A waiting request looks again after this time at the latest, since limits may end meanwhile.
+inline constexpr Duration kMaxSendPause = std::chrono::milliseconds(50);
 inline constexpr Duration kRefusedRetry = std::chrono::milliseconds(200);
 // Outages of the object API last seconds; a caller loses at most a third of its time by waiting.
 inline constexpr Duration kStoreRetry = std::chrono::seconds(1);
@@ -48,6 +51,12 @@
 // after those that can still end in time.
 std::uint32_t priorityOf(const CallContext &context);
 Error noEndpoint(const CallContext &context);
+// The endpoints of the service have reached the limits that they state; one of them may be sent
+// this request after `wait`.
+Error limitReached(const CallContext &context, Duration wait);
+// Returns the latest time at which a request that waits for the limits of endpoints is sent, so
+// that it can still be served in time.
+Instant latestSend(SendRank rank, Instant now, Instant deadline);
 // Empty on public routes.
 TeamName teamOf(const CallContext &context);
 // Returns the number of tokens in the forwarded events.
--- a/basilhall/gateway/internal/update_codec.cpp
+++ b/basilhall/gateway/internal/update_codec.cpp
@@ -3,6 +3,8 @@
 #include "basilhall/gateway/gateway.pb.h"
 #include "basilhall/gateway/record_codec.h"
 
+#include <algorithm>
+
 namespace basilhall::gateway
 {
 
@@ -16,8 +18,25 @@
     spend.set_is_home(report.isHome);
 }
 
-void addChanges(FleetState &state, wire::Update &update)
+void addLimit(wire::Update &update, const EndpointName &endpoint,
+              const placement::NamedLimit &stated, Instant now)
+{
+    using Millis = std::chrono::milliseconds;
+    wire::EndpointLimit &limit = *update.add_limits();
+    limit.set_endpoint(endpoint.value());
+    limit.set_started_wall_ms(stated.startedAt);
+    limit.set_is_limited(stated.perSecond.has_value());
+    limit.set_per_second(stated.perSecond.value_or(0));
+    limit.set_age_ms(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<Millis>(std::max(now - stated.statedAt, Duration::zero()))
+            .count()));
+}
+
+void addChanges(FleetState &state, Instant now, wire::Update &update)
 {
+    for (const auto &[endpoint, stated] : state.placement().limits().takeChanges()) {
+        addLimit(update, endpoint, stated, now);
+    }
     for (const turns::SpendReport &report : state.budgets().takeChanges()) {
         addSpend(update, state.self(), report);
     }
@@ -73,6 +92,13 @@
             state.placement().onPeerPace(endpoint, {load.answers(), load.time_ratio_sum()}, now);
         }
     }
+    for (const wire::EndpointLimit &limit : update.limits()) {
+        const placement::NamedLimit stated{limit.started_wall_ms(),
+                                           limit.is_limited() ? std::optional(limit.per_second())
+                                                              : std::nullopt,
+                                           now - std::chrono::milliseconds(limit.age_ms())};
+        (void)state.placement().limits().onPeerAnswer(EndpointName(limit.endpoint()), stated, now);
+    }
     for (const wire::PromptUse &use : update.uses()) {
         placement::PromptUse known{EndpointName(use.endpoint()), {}};
         for (const wire::PromptPart &part : use.parts()) {
--- a/basilhall/gateway/internal/update_codec.h
+++ b/basilhall/gateway/internal/update_codec.h
@@ -1,6 +1,6 @@
 // Converts between the state of a gateway and the updates that gateways send each other.
 //
-//     addChanges(state, update);
+//     addChanges(state, now, update);
 //     applyUpdate(received, now, state);
 #pragma once
 
@@ -20,8 +20,12 @@
 void addSpend(wire::Update &update, const Incarnation &incarnation,
               const turns::SpendReport &report);
 
+// Adds what an endpoint stated about its request limit.
+void addLimit(wire::Update &update, const EndpointName &endpoint,
+              const placement::NamedLimit &stated, Instant now);
+
 // Moves the pending changes of the state into the update.
-void addChanges(FleetState &state, wire::Update &update);
+void addChanges(FleetState &state, Instant now, wire::Update &update);
 
 // Applies the update of a peer to the state, except for the configuration, which the caller
 // handles.
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -625,6 +625,9 @@
         for (const turns::SpendReport &report : state.budgets().localReports()) {
             addSpend(update, self.incarnation, report);
         }
+        for (const auto &[endpoint, stated] : state.placement().limits().statements()) {
+            addLimit(update, endpoint, stated, now());
+        }
         return std::make_shared<const std::string>(update.SerializeAsString());
     }
 
@@ -674,9 +677,10 @@
     void flush()
     {
         wire::Update update = newUpdate();
-        addChanges(state, update);
+        addChanges(state, now(), update);
         broadcast(update);
         updateLimitShare();
+        state.programStarts().setRates(state.placement().limitedRates(now()), now());
         updateHolder();
         updateMustConfirm();
         fetchDocuments();
@@ -706,6 +710,16 @@
             <= std::min<Duration>(kReachableIntervals * updateInterval(), kMaxSilence);
     }
 
+    // Registered gateways count also while they are silent, since they may still send requests.
+    void shareEndpointLimits()
+    {
+        std::set<HostName> hosts{self.host};
+        for (const auto &[host, peer] : peers) {
+            hosts.insert(host);
+        }
+        state.placement().limits().setGateways(self.host, hosts, now());
+    }
+
     void updateLimitShare()
     {
         std::size_t reachable = 0;
@@ -1005,6 +1019,7 @@
         }
     }
     d->peers = std::move(kept);
+    d->shareEndpointLimits();
     d->updateMustConfirm();
 }
 
--- a/basilhall/placement/placement.cpp
+++ b/basilhall/placement/placement.cpp
@@ -21,6 +21,7 @@
 constexpr double kMemoryFullPenaltyMs = 400.0;
 // Fraction of an engine's cache memory above which it preempts requests.
 constexpr double kPreemptionThreshold = 0.92;
+constexpr double kMillisPerSecond = 1000.0;
 
 // Returns the number of requests that have to finish before a new request gets a slot.
 std::uint32_t requestsAhead(std::uint32_t requests, std::uint32_t slots)
@@ -154,7 +155,8 @@
     for (std::size_t i = 0; i < names.size(); ++i) {
         const EndpointName &name = names[(i + randomBits) % names.size()];
         const State &state = m_states.at(name);
-        if (!acceptsWork(state, now) || excluded.contains(name)) {
+        if (!acceptsWork(state, now) || excluded.contains(name)
+            || !m_limits.admits(state.endpoint, now)) {
             continue;
         }
         const double ms = cost(state, work, remoteMs, now);
@@ -176,13 +178,75 @@
     for (const EndpointName &name : found->second) {
         const State &state = m_states.at(name);
         if (acceptsWork(state, now)) {
-            sum.requests += state.totalLoad().requests;
-            sum.slots += state.engine ? state.engine->batchSlots : state.endpoint.slots;
+            const std::uint64_t slots = usableSlots(state);
+            const std::uint64_t requests = state.totalLoad().requests;
+            sum.requests += m_limits.limitOf(state.endpoint) ? std::min(requests, slots) : requests;
+            sum.slots += slots;
         }
     }
     return sum;
 }
 
+std::uint64_t Placement::usableSlots(const State &state) const
+{
+    const std::uint64_t slots = state.engine ? state.engine->batchSlots : state.endpoint.slots;
+    const std::optional<double> limit = m_limits.limitOf(state.endpoint);
+    if (!limit || !state.engine) {
+        return slots;
+    }
+    const auto found = m_models.find(state.endpoint.service);
+    static const EngineModel initial;
+    const EngineModel &model = found == m_models.end() ? initial : found->second;
+    const double running = *limit * model.turnMs() / kMillisPerSecond;
+    return running >= static_cast<double>(slots) ? slots : static_cast<std::uint64_t>(running) + 1;
+}
+
+std::optional<Duration>
+Placement::sendWait(const Work &work, const std::set<EndpointName> &excluded, Instant now) const
+{
+    std::optional<Duration> shortest;
+    const auto found = m_byService.find(work.service);
+    if (found == m_byService.end()) {
+        return shortest;
+    }
+    for (const EndpointName &name : found->second) {
+        const State &state = m_states.at(name);
+        if (!acceptsWork(state, now) || excluded.contains(name)) {
+            continue;
+        }
+        const std::optional<Duration> wait = m_limits.wait(state.endpoint, now);
+        if (wait && (!shortest || *wait < *shortest)) {
+            shortest = wait;
+        }
+    }
+    return shortest;
+}
+
+std::map<std::string, double> Placement::limitedRates(Instant now) const
+{
+    std::map<std::string, double> rates;
+    if (m_limits.statements().empty()) {
+        return rates;
+    }
+    for (const auto &[service, names] : m_byService) {
+        double rate = 0;
+        std::size_t accepting = 0;
+        const bool areAllLimited = std::all_of(names.begin(), names.end(), [&](const auto &name) {
+            const State &state = m_states.at(name);
+            if (!acceptsWork(state, now)) {
+                return true;
+            }
+            ++accepting;
+            rate += m_limits.shareOf(state.endpoint);
+            return m_limits.limitOf(state.endpoint).has_value();
+        });
+        if (areAllLimited && accepting > 0) {
+            rates.emplace(service, rate);
+        }
+    }
+    return rates;
+}
+
 double Placement::stretch(const std::string &service) const
 {
     const auto found = m_models.find(service);
@@ -196,13 +260,14 @@
     }
 }
 
-SendConditions Placement::onSent(const EndpointName &name, const Work &work)
+SendConditions Placement::onSent(const EndpointName &name, const Work &work, Instant now)
 {
     const auto found = m_states.find(name);
     if (found == m_states.end()) {
         return {};
     }
     State &state = found->second;
+    m_limits.onSent(state.endpoint, now);
     SendConditions conditions{0, state.totalLoad().requests};
     for (const PromptPart &part : work.prompt) {
         conditions.uncachedTokens += part.tokens;
--- a/basilhall/placement/placement.h
+++ b/basilhall/placement/placement.h
@@ -5,12 +5,13 @@
 // wait for a slot. Load is counted from the requests that all gateways have sent, because this is
 // more recent than what endpoints report. Endpoints of the gateway's own failure domain are
 // preferred if it has many: their load is known best, and fewer connections are needed. An
-// endpoint that has been slower than others lately is expected to take longer.
+// endpoint that has been slower than others lately is expected to take longer. An endpoint that
+// states a request limit is chosen only if this gateway may send it one more request.
 //
 //     Placement placement(domain);
 //     placement.setEndpoint(endpoint, service.engine);
 //     if (const fleet::Endpoint *chosen = placement.choose(work, {}, randomBits, now)) {
-//         const SendConditions conditions = placement.onSent(chosen->name, work);
+//         const SendConditions conditions = placement.onSent(chosen->name, work, now);
 //         ...
 //         placement.onAnswered(chosen->name, conditions, timing, now);
 //     }
@@ -19,6 +20,7 @@
 #include "basilhall/base/identifier.h"
 #include "basilhall/fleet/endpoint.h"
 #include "basilhall/fleet/service.h"
+#include "basilhall/placement/endpoint_limits.h"
 #include "basilhall/placement/endpoint_pace.h"
 #include "basilhall/placement/engine_model.h"
 #include "basilhall/placement/prefix_cache.h"
@@ -47,11 +49,21 @@
     // The endpoint gets no requests before `until`.
     void suspend(const EndpointName &name, Instant until);
 
-    // Returns the endpoint of lowest cost that accepts work and is not in `excluded`; nullptr if
-    // there is none.
+    EndpointLimits &limits() { return m_limits; }
+
+    // Returns the endpoint of lowest cost that accepts work, is not in `excluded` and may get one
+    // more request; nullptr if there is none.
     const fleet::Endpoint *choose(const Work &work, const std::set<EndpointName> &excluded,
                                   std::uint64_t randomBits, Instant now) const;
-    // Requests and slots of the endpoints of a service that accept work.
+    // Returns the time until the limits let an endpoint that accepts work and is not in `excluded`
+    // get one more request; nullopt if there is no such endpoint.
+    std::optional<Duration> sendWait(const Work &work, const std::set<EndpointName> &excluded,
+                                     Instant now) const;
+    // Returns, for each service whose endpoints that accept work all state a limit, the requests a
+    // second that this gateway may send to it.
+    std::map<std::string, double> limitedRates(Instant now) const;
+    // Requests and slots of the endpoints of a service that accept work. An endpoint with a limit
+    // counts with the slots that the limit can fill.
     struct Occupancy {
         std::uint64_t requests = 0;
         std::uint64_t slots = 0;
@@ -62,8 +74,9 @@
     // See EngineModel::stretch(); 1 for plain services.
     double stretch(const std::string &service) const;
 
-    // Returns the conditions for onAnswered().
-    SendConditions onSent(const EndpointName &name, const Work &work);
+    // Counts the request against the limit of the endpoint. Returns the conditions for
+    // onAnswered().
+    SendConditions onSent(const EndpointName &name, const Work &work, Instant now);
     // A complete answer arrived. Call it besides onFinished().
     void onAnswered(const EndpointName &name, const SendConditions &conditions,
                     const AnswerTiming &timing, Instant now);
@@ -114,9 +127,12 @@
     EngineModel &modelOf(const State &state) { return m_models[state.endpoint.service]; }
     void addPace(State &state, double ratio, Instant now);
     static bool acceptsWork(const State &state, Instant now);
+    // Requests that the endpoint can run at once, given its limit.
+    std::uint64_t usableSlots(const State &state) const;
     void markLoadChanged(State &state);
 
     FailureDomain m_domain;
+    EndpointLimits m_limits;
     std::unordered_map<EndpointName, State> m_states;
     std::unordered_map<std::string, std::vector<EndpointName>> m_byService;
     // By service.
--- /dev/null
+++ b/basilhall/placement/rate_share.cpp
@@ -0,0 +1,49 @@
+#include "basilhall/placement/rate_share.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace basilhall::placement
+{
+
+namespace
+{
+
+// Number of gateways that share a limit: each may hold one request in stock, and those of all, sent
+// at once, are to stay well below the requests of 4 s.
+constexpr double kBaseGateways = 2.0;
+// Time at the gateway's rate that it may hold in stock, beyond one request.
+constexpr double kStockSeconds = 0.5;
+
+std::pair<std::size_t, std::string_view> rank(const EndpointName &endpoint, const HostName &host)
+{
+    return {std::hash<std::string>()(endpoint.value() + "/" + host.value()), host.value()};
+}
+
+} // namespace
+
+RateShare rateShare(const EndpointName &endpoint, double perSecond, const HostName &self,
+                    const std::set<HostName> &hosts)
+{
+    const double limit = std::max(perSecond, kMinRequestLimit);
+    const auto others = static_cast<std::size_t>(std::count_if(
+        hosts.begin(), hosts.end(), [&](const HostName &host) { return host != self; }));
+    // Compared as floating point, since a limit may exceed every integer type.
+    const double sharers =
+        std::min(std::floor(limit + kBaseGateways), static_cast<double>(others + 1));
+    const auto own = rank(endpoint, self);
+    const auto before = std::count_if(hosts.begin(), hosts.end(), [&](const HostName &host) {
+        return host != self && rank(endpoint, host) < own;
+    });
+    if (static_cast<double>(before) >= sharers) {
+        return {};
+    }
+    const double part = limit / sharers;
+    return {part, std::max(1.0, part * kStockSeconds)};
+}
+
+} // namespace basilhall::placement
--- /dev/null
+++ b/basilhall/placement/rate_share.h
@@ -0,0 +1,38 @@
+// The part of an endpoint's request limit that one gateway may use without asking the others.
+//
+// Gateways that list the same hosts compute parts that add up to the limit. A gateway's part must
+// hold whole requests, so a low limit is divided among a few gateways only, which rendezvous
+// hashing selects for each endpoint: with one request a gateway in stock, a large fleet would
+// exceed it.
+//
+//     const RateShare share = rateShare(endpoint.name, 5.5, self, hosts);
+#pragma once
+
+#include "basilhall/base/identifier.h"
+
+#include <compare>
+#include <set>
+
+namespace basilhall::placement
+{
+
+// Immutable value.
+struct RateShare {
+    // Requests a second. 0 if other gateways hold the limit of the endpoint.
+    double perSecond = 0;
+    // Requests that may be sent at once.
+    double burst = 0;
+
+    auto operator<=>(const RateShare &) const = default;
+};
+
+// Endpoints with a lower limit, and those that state 0, get this many requests a second: without
+// any request, the end of their limit would not be seen.
+inline constexpr double kMinRequestLimit = 0.25;
+
+// `perSecond` is the limit of the endpoint, `hosts` are those of all gateways; `self` counts as one
+// of them.
+RateShare rateShare(const EndpointName &endpoint, double perSecond, const HostName &self,
+                    const std::set<HostName> &hosts);
+
+} // namespace basilhall::placement
