--- a/basilhall/gateway/peer_mesh_test.cpp
+++ b/basilhall/gateway/peer_mesh_test.cpp
@@ -115,6 +115,28 @@
     BOOST_TEST(weak->calls + middle->calls > 0);
 }
 
+BOOST_AUTO_TEST_CASE(requestLimitsOfEndpointsReachGatewaysThatStartLate)
+{
+    fleet::Endpoint endpoint;
+    endpoint.name = EndpointName("e");
+    endpoint.startedAt = 5;
+    const auto limitAt = [&](MeshNode &node) {
+        return node.state.placement().limits().limitOf(endpoint).value_or(0);
+    };
+    connect();
+    (void)strong->state.placement().limits().onAnswer(endpoint, 6.0, MonotonicClock().now());
+    flushUntil([&] { return limitAt(*weak) == 6.0; });
+    // Each of the three may send a third.
+    BOOST_TEST(weak->state.placement().limits().shareOf(endpoint) == 2.0);
+    const auto late = std::make_shared<MeshNode>(context, objects, "late", 90);
+    late->keeper.setLoaded();
+    const auto previous = std::exchange(middle, late);
+    connect();
+    flushUntil([&] { return limitAt(*late) == 6.0; });
+    (void)weak->state.placement().limits().onAnswer(endpoint, std::nullopt, MonotonicClock().now());
+    flushUntil([&] { return limitAt(*late) == 0 && limitAt(*strong) == 0; });
+}
+
 // A gateway that has just started does not know the spending, so it must not become the home of
 // programs whose home was lost, nor admit their turns.
 BOOST_AUTO_TEST_CASE(gatewayWithoutTheLedgerDoesNotBecomeHome)
