A request may wait for a limited endpoint; programs begin at the rate that limits and free capacity carry

Cause: an endpoint whose limit was used up for the moment was skipped, so a turn moved away from the engine that held its prompt; and the rate of programs was held down only if every endpoint of a service had a limit.

Change: Placement::choose weighs the wait for a limit with the other costs and returns it; the request waits in the queue if that is cheapest and in time, and is told the time only if no other endpoint takes it. While any endpoint of a service is limited, programs begin at the rate that its limits and this gateway's part of its other endpoints carry. A backlog of begun programs is compared with that.

Two new cases in placement_choice; the four calls of choose() in older cases take the endpoint from the result.

--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -19,6 +19,7 @@
 #include "basilhall/http/client.h"
 #include "basilhall/placement/program_admission.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -109,7 +110,7 @@
         const placement::EngineLoad load{occupancy.requests, occupancy.slots,
                                          m_state.placement().stretch(service)};
         const std::uint64_t hash = std::hash<std::string>()(context.call.program.value());
-        if (!starts.admits(context.arrivedAt) || m_sendQueue.isAnyWaiting(SendRank::BegunProgram)) {
+        if (!starts.admits(context.arrivedAt) || hasBacklog()) {
             m_log.limitedProgram(context, starts.perSecond());
             return Error(ErrorKind::Overloaded,
                          "the endpoints that programs need have reached their request limits; no "
@@ -212,28 +213,24 @@
                                 "the deadline of the request has passed");
             }
             const std::size_t ahead = m_sendQueue.ahead(service, rank, place);
-            if (ahead == 0) {
-                const fleet::Endpoint *chosen =
-                    m_state.placement().choose(context->work, context->tried, m_random(), now);
-                if (chosen != nullptr) {
-                    co_return *chosen;
-                }
-            }
-            const std::optional<Duration> first =
-                m_state.placement().sendWait(context->work, context->tried, now);
-            if (!first) {
+            const placement::Placement::Choice choice =
+                m_state.placement().choose(context->work, context->tried, m_random(), now,
+                                           {waitBehind(service, ahead, now), lastSendAt - now});
+            if (choice.endpoint == nullptr) {
                 co_return noEndpoint(*context);
             }
-            const Duration wait = *first + waitBehind(service, ahead, now);
-            if (now + wait > lastSendAt) {
-                m_log.limited(*context, wait, ahead);
-                co_return limitReached(*context, wait);
+            if (choice.wait == Duration::zero()) {
+                co_return *choice.endpoint;
+            }
+            if (now + choice.wait > lastSendAt) {
+                m_log.limited(*context, choice.wait, ahead);
+                co_return limitReached(*context, choice.wait);
             }
             if (!place) {
                 place = m_sendQueue.enter(service, rank);
             }
             boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
-                                            std::min(wait, kMaxSendPause));
+                                            std::min(choice.wait, kMaxSendPause));
             (void)co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
         }
     }
@@ -246,15 +243,26 @@
                                                                        : SendRank::BegunProgram;
     }
 
+    // True if programs that have begun wait so long for the limits of endpoints that more programs
+    // would only add to it.
+    bool hasBacklog() const
+    {
+        const auto waiting = m_sendQueue.waiting(SendRank::BegunProgram);
+        const placement::ProgramStarts::Rates &rates = m_state.programStarts().rates();
+        return std::any_of(waiting.begin(), waiting.end(), [&](const auto &entry) {
+            const auto rate = rates.find(entry.first);
+            return rate != rates.end()
+                && static_cast<double>(entry.second) > rate->second * kBacklogSeconds;
+        });
+    }
+
     // Time in which the limits let `ahead` requests be sent.
     Duration waitBehind(const std::string &service, std::size_t ahead, Instant now) const
     {
-        const auto rates = m_state.placement().limitedRates(now);
-        const auto rate = rates.find(service);
-        return rate == rates.end() || rate->second <= 0
-            ? Duration::zero()
-            : std::chrono::duration_cast<Duration>(
-                std::chrono::duration<double>(static_cast<double>(ahead) / rate->second));
+        const double rate = ahead == 0 ? 0 : m_state.placement().limitedRate(service, now);
+        return rate <= 0 ? Duration::zero()
+                         : std::chrono::duration_cast<Duration>(
+                             std::chrono::duration<double>(static_cast<double>(ahead) / rate));
     }
 
     // Adds notRun() to the error only if no attempt can have run; removes it otherwise.
--- a/basilhall/gateway/internal/route_choice.h
+++ b/basilhall/gateway/internal/route_choice.h
@@ -26,6 +26,9 @@
 // Loading the kept turns and spending takes about a second after a restart.
 inline constexpr Duration kNotLoadedRetry = std::chrono::milliseconds(500);
 inline constexpr Duration kNoEndpointRetry = std::chrono::milliseconds(300);
+// While more requests of programs that have begun wait than can be sent in this time, no further
+// one begins.
+inline constexpr double kBacklogSeconds = 0.1;
 // A waiting request looks again after this time at the latest, since limits may end meanwhile.
 inline constexpr Duration kMaxSendPause = std::chrono::milliseconds(50);
 inline constexpr Duration kRefusedRetry = std::chrono::milliseconds(200);
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -680,7 +680,7 @@
         addChanges(state, now(), update);
         broadcast(update);
         updateLimitShare();
-        state.programStarts().setRates(state.placement().limitedRates(now()), now());
+        state.programStarts().setRates(state.placement().carriedRates(now()), now());
         updateHolder();
         updateMustConfirm();
         fetchDocuments();
--- a/basilhall/gateway/send_queue.cpp
+++ b/basilhall/gateway/send_queue.cpp
@@ -40,12 +40,17 @@
     return static_cast<std::size_t>(std::distance(entries.begin(), end));
 }
 
-bool SendQueue::isAnyWaiting(SendRank rank) const
+std::map<std::string, std::size_t> SendQueue::waiting(SendRank rank) const
 {
-    return std::any_of(m_entries->begin(), m_entries->end(), [rank](const auto &service) {
-        return std::any_of(service.second.begin(), service.second.end(),
-                           [rank](const auto &entry) { return entry.first == rank; });
-    });
+    std::map<std::string, std::size_t> counts;
+    for (const auto &[service, entries] : *m_entries) {
+        const auto count = std::count_if(entries.begin(), entries.end(),
+                                         [rank](const auto &entry) { return entry.first == rank; });
+        if (count > 0) {
+            counts.emplace(service, static_cast<std::size_t>(count));
+        }
+    }
+    return counts;
 }
 
 } // namespace basilhall::gateway
--- a/basilhall/gateway/send_queue.h
+++ b/basilhall/gateway/send_queue.h
@@ -44,8 +44,8 @@
     // Number of waiting requests that are sent before this one; `place` is empty if it does not
     // wait yet.
     std::size_t ahead(const std::string &service, SendRank rank, const Place &place) const;
-    // True if a request of this rank waits for any service.
-    bool isAnyWaiting(SendRank rank) const;
+    // Number of waiting requests of this rank, by service.
+    std::map<std::string, std::size_t> waiting(SendRank rank) const;
 
 private:
     using Entries = std::set<std::pair<SendRank, std::uint64_t>>;
--- a/basilhall/gateway/send_queue_test.cpp
+++ b/basilhall/gateway/send_queue_test.cpp
@@ -26,10 +26,10 @@
 {
     SendQueue queue;
     std::optional<SendQueue::Place> place = queue.enter("s", SendRank::BegunProgram);
-    BOOST_TEST(queue.isAnyWaiting(SendRank::BegunProgram));
-    BOOST_TEST(!queue.isAnyWaiting(SendRank::Other));
+    BOOST_TEST(queue.waiting(SendRank::BegunProgram).at("s") == 1U);
+    BOOST_TEST(queue.waiting(SendRank::Other).empty());
     place.reset();
-    BOOST_TEST(!queue.isAnyWaiting(SendRank::BegunProgram));
+    BOOST_TEST(queue.waiting(SendRank::BegunProgram).empty());
     BOOST_TEST(queue.ahead("s", SendRank::Other, {}) == 0U);
 }
 
--- a/basilhall/placement/endpoint_limits.h
+++ b/basilhall/placement/endpoint_limits.h
@@ -13,6 +13,7 @@
 #include "basilhall/placement/named_limits.h"
 #include "basilhall/placement/send_allowance.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <utility>
@@ -29,6 +30,8 @@
     // as the only one.
     void setGateways(const HostName &self, const std::set<HostName> &hosts, Instant now);
 
+    std::size_t gatewayCount() const { return std::max<std::size_t>(m_hosts.size(), 1); }
+
     // An answer to this gateway stated a limit, or none. Returns false if the limit stays as it
     // was.
     bool onAnswer(const fleet::Endpoint &endpoint, std::optional<double> perSecond, Instant now);
--- a/basilhall/placement/placement.cpp
+++ b/basilhall/placement/placement.cpp
@@ -22,6 +22,15 @@
 // Fraction of an engine's cache memory above which it preempts requests.
 constexpr double kPreemptionThreshold = 0.92;
 constexpr double kMillisPerSecond = 1000.0;
+// Cost, in ms, of an endpoint that could get the request only when it is too late.
+constexpr double kTooLateMs = 1e6;
+// Part of the slots of an endpoint without a limit that is planned for while others have one.
+constexpr double kPlannedOccupancy = 1.0;
+
+double milliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
 
 // Returns the number of requests that have to finish before a new request gets a slot.
 std::uint32_t requestsAhead(std::uint32_t requests, std::uint32_t slots)
@@ -97,6 +106,13 @@
     return !state.endpoint.isLeaving && now >= state.suspendedUntil;
 }
 
+const EngineModel &Placement::modelOf(const State &state) const
+{
+    static const EngineModel initial;
+    const auto found = m_models.find(state.endpoint.service);
+    return found == m_models.end() ? initial : found->second;
+}
+
 double Placement::remoteCostMs(const std::vector<EndpointName> &names, Instant now) const
 {
     const auto local = std::count_if(names.begin(), names.end(), [&](const EndpointName &name) {
@@ -119,9 +135,7 @@
         // An idle endpoint that fails requests has no wait, but costs the time of a call.
         return networkMs + waitMs * pace + kMeanServiceCallMs * (pace - 1);
     }
-    const auto found = m_models.find(work.service);
-    static const EngineModel initial;
-    const EngineModel &model = found == m_models.end() ? initial : found->second;
+    const EngineModel &model = modelOf(state);
     const std::uint32_t slots = std::max(state.engine->batchSlots, 1U);
     std::uint64_t promptTokens = 0;
     for (const PromptPart &part : work.prompt) {
@@ -140,32 +154,39 @@
     return networkMs + ms;
 }
 
-const fleet::Endpoint *Placement::choose(const Work &work, const std::set<EndpointName> &excluded,
-                                         std::uint64_t randomBits, Instant now) const
+Placement::Choice Placement::choose(const Work &work, const std::set<EndpointName> &excluded,
+                                    std::uint64_t randomBits, Instant now,
+                                    const Queueing &queueing) const
 {
     const auto found = m_byService.find(work.service);
     if (found == m_byService.end() || found->second.empty()) {
-        return nullptr;
+        return {};
     }
     const std::vector<EndpointName> &names = found->second;
     const double remoteMs = remoteCostMs(names, now);
-    const State *best = nullptr;
+    Choice best;
     double bestCost = 0;
     // Starts at a random endpoint, so that endpoints of equal cost share the load.
     for (std::size_t i = 0; i < names.size(); ++i) {
         const EndpointName &name = names[(i + randomBits) % names.size()];
         const State &state = m_states.at(name);
-        if (!acceptsWork(state, now) || excluded.contains(name)
-            || !m_limits.admits(state.endpoint, now)) {
+        if (!acceptsWork(state, now) || excluded.contains(name)) {
             continue;
         }
-        const double ms = cost(state, work, remoteMs, now);
-        if (best == nullptr || ms < bestCost) {
-            best = &state;
+        const bool isLimited = m_limits.limitOf(state.endpoint).has_value();
+        const std::optional<Duration> ownWait = m_limits.wait(state.endpoint, now);
+        if (!ownWait) {
+            continue;
+        }
+        const Duration wait = isLimited ? std::max(*ownWait, queueing.ahead) : Duration::zero();
+        const double ms = cost(state, work, remoteMs, now) + milliseconds(wait)
+            + (wait > queueing.most ? kTooLateMs : 0.0);
+        if (best.endpoint == nullptr || ms < bestCost) {
+            best = {&state.endpoint, wait};
             bestCost = ms;
         }
     }
-    return best == nullptr ? nullptr : &best->endpoint;
+    return best;
 }
 
 Placement::Occupancy Placement::occupancy(const std::string &service, Instant now) const
@@ -194,35 +215,31 @@
     if (!limit || !state.engine) {
         return slots;
     }
-    const auto found = m_models.find(state.endpoint.service);
-    static const EngineModel initial;
-    const EngineModel &model = found == m_models.end() ? initial : found->second;
-    const double running = *limit * model.turnMs() / kMillisPerSecond;
+    const double running = *limit * modelOf(state).turnMs() / kMillisPerSecond;
     return running >= static_cast<double>(slots) ? slots : static_cast<std::uint64_t>(running) + 1;
 }
 
-std::optional<Duration>
-Placement::sendWait(const Work &work, const std::set<EndpointName> &excluded, Instant now) const
+double Placement::limitedRate(const std::string &service, Instant now) const
 {
-    std::optional<Duration> shortest;
-    const auto found = m_byService.find(work.service);
-    if (found == m_byService.end()) {
-        return shortest;
-    }
-    for (const EndpointName &name : found->second) {
-        const State &state = m_states.at(name);
-        if (!acceptsWork(state, now) || excluded.contains(name)) {
-            continue;
-        }
-        const std::optional<Duration> wait = m_limits.wait(state.endpoint, now);
-        if (wait && (!shortest || *wait < *shortest)) {
-            shortest = wait;
+    double rate = 0;
+    const auto found = m_byService.find(service);
+    if (found != m_byService.end()) {
+        for (const EndpointName &name : found->second) {
+            const State &state = m_states.at(name);
+            rate += acceptsWork(state, now) ? m_limits.shareOf(state.endpoint) : 0;
         }
     }
-    return shortest;
+    return rate;
 }
 
-std::map<std::string, double> Placement::limitedRates(Instant now) const
+double Placement::capacity(const State &state) const
+{
+    const std::uint32_t slots = state.engine ? state.engine->batchSlots : state.endpoint.slots;
+    const double callMs = state.engine ? modelOf(state).turnMs() : kMeanServiceCallMs;
+    return kPlannedOccupancy * slots * kMillisPerSecond / callMs;
+}
+
+std::map<std::string, double> Placement::carriedRates(Instant now) const
 {
     std::map<std::string, double> rates;
     if (m_limits.statements().empty()) {
@@ -230,17 +247,20 @@
     }
     for (const auto &[service, names] : m_byService) {
         double rate = 0;
-        std::size_t accepting = 0;
-        const bool areAllLimited = std::all_of(names.begin(), names.end(), [&](const auto &name) {
+        bool isAnyLimited = false;
+        for (const EndpointName &name : names) {
             const State &state = m_states.at(name);
             if (!acceptsWork(state, now)) {
-                return true;
+                continue;
+            }
+            if (m_limits.limitOf(state.endpoint)) {
+                isAnyLimited = true;
+                rate += m_limits.shareOf(state.endpoint);
+            } else {
+                rate += capacity(state) / static_cast<double>(m_limits.gatewayCount());
             }
-            ++accepting;
-            rate += m_limits.shareOf(state.endpoint);
-            return m_limits.limitOf(state.endpoint).has_value();
-        });
-        if (areAllLimited && accepting > 0) {
+        }
+        if (isAnyLimited) {
             rates.emplace(service, rate);
         }
     }
@@ -305,7 +325,7 @@
         addPace(state, 1, now);
         return;
     }
-    EngineModel &model = modelOf(state);
+    EngineModel &model = m_models[state.endpoint.service];
     // A busy engine is slow because of its load, which the cost includes already.
     if (2 * conditions.runningRequests < state.engine->batchSlots) {
         addPace(state, std::min(model.timeRatio(conditions, timing), kFailureRatio), now);
--- a/basilhall/placement/placement.h
+++ b/basilhall/placement/placement.h
@@ -10,7 +10,8 @@
 //
 //     Placement placement(domain);
 //     placement.setEndpoint(endpoint, service.engine);
-//     if (const fleet::Endpoint *chosen = placement.choose(work, {}, randomBits, now)) {
+//     const Placement::Choice choice = placement.choose(work, {}, randomBits, now);
+//     if (const fleet::Endpoint *chosen = choice.endpoint) {
 //         const SendConditions conditions = placement.onSent(chosen->name, work, now);
 //         ...
 //         placement.onAnswered(chosen->name, conditions, timing, now);
@@ -51,17 +52,40 @@
 
     EndpointLimits &limits() { return m_limits; }
 
-    // Returns the endpoint of lowest cost that accepts work, is not in `excluded` and may get one
-    // more request; nullptr if there is none.
-    const fleet::Endpoint *choose(const Work &work, const std::set<EndpointName> &excluded,
-                                  std::uint64_t randomBits, Instant now) const;
-    // Returns the time until the limits let an endpoint that accepts work and is not in `excluded`
-    // get one more request; nullopt if there is no such endpoint.
-    std::optional<Duration> sendWait(const Work &work, const std::set<EndpointName> &excluded,
-                                     Instant now) const;
-    // Returns, for each service whose endpoints that accept work all state a limit, the requests a
-    // second that this gateway may send to it.
-    std::map<std::string, double> limitedRates(Instant now) const;
+    // An endpoint, and the time until its limit lets it get one more request.
+    struct Choice {
+        const fleet::Endpoint *endpoint = nullptr;
+        Duration wait{};
+
+        auto operator<=>(const Choice &) const = default;
+    };
+    // What the request has to wait for before an endpoint with a limit can get it.
+    struct Queueing {
+        // Time that the requests before it need.
+        Duration ahead{};
+        // Time that it may wait.
+        Duration most = Duration::max();
+
+        auto operator<=>(const Queueing &) const = default;
+    };
+    // Returns the endpoint of lowest cost, including the wait for its limit, that accepts work and
+    // is not in `excluded`; none if there is no such endpoint. One for which the request would wait
+    // too long is chosen only if there is no other.
+    Choice choose(const Work &work, const std::set<EndpointName> &excluded,
+                  std::uint64_t randomBits, Instant now, const Queueing &queueing) const;
+    // For a request that does not wait.
+    Choice choose(const Work &work, const std::set<EndpointName> &excluded,
+                  std::uint64_t randomBits, Instant now) const
+    {
+        return choose(work, excluded, randomBits, now, Queueing());
+    }
+    // Requests a second that this gateway may send to the endpoints of the service that state a
+    // limit.
+    double limitedRate(const std::string &service, Instant now) const;
+    // Returns the requests a second that this gateway can send to each service some of whose
+    // endpoints state a limit: what the limits let it send, and its part of what the others can
+    // run.
+    std::map<std::string, double> carriedRates(Instant now) const;
     // Requests and slots of the endpoints of a service that accept work. An endpoint with a limit
     // counts with the slots that the limit can fill.
     struct Occupancy {
@@ -124,7 +148,9 @@
     double cost(const State &state, const Work &work, double remoteMs, Instant now) const;
     // Cost, in ms, of an endpoint in another failure domain than that of this gateway.
     double remoteCostMs(const std::vector<EndpointName> &names, Instant now) const;
-    EngineModel &modelOf(const State &state) { return m_models[state.endpoint.service]; }
+    const EngineModel &modelOf(const State &state) const;
+    // Requests a second that an endpoint without a limit can run.
+    double capacity(const State &state) const;
     void addPace(State &state, double ratio, Instant now);
     static bool acceptsWork(const State &state, Instant now);
     // Requests that the endpoint can run at once, given its limit.
--- a/basilhall/placement/placement_test.cpp
+++ b/basilhall/placement/placement_test.cpp
@@ -32,7 +32,7 @@
 
     std::string choose(const Work &work, const std::set<EndpointName> &excluded = {})
     {
-        const fleet::Endpoint *chosen = placement.choose(work, excluded, 0, kNow);
+        const fleet::Endpoint *chosen = placement.choose(work, excluded, 0, kNow).endpoint;
         return chosen == nullptr ? "" : chosen->name.value();
     }
 
@@ -68,7 +68,7 @@
     BOOST_TEST(choose(first) == "far");
     placement.suspend(EndpointName("far"), kNow + 1s);
     BOOST_TEST(choose(first).empty());
-    BOOST_TEST(placement.choose(first, {}, 0, kNow + 1s) != nullptr);
+    BOOST_TEST(placement.choose(first, {}, 0, kNow + 1s).endpoint != nullptr);
 }
 
 BOOST_AUTO_TEST_CASE(restartUnderTheSameNameClearsTheCache)
@@ -91,7 +91,7 @@
 {
     placement.onPeerPace(EndpointName("near"), {10, 50.0}, kNow);
     BOOST_TEST(choose(first) == "far");
-    const fleet::Endpoint *later = placement.choose(first, {}, 0, kNow + 20s);
+    const fleet::Endpoint *later = placement.choose(first, {}, 0, kNow + 20s).endpoint;
     BOOST_TEST(later->name.value() == "near");
 }
 
@@ -126,6 +126,43 @@
     BOOST_TEST((placement.occupancy("engines", kNow) == Placement::Occupancy{1, 8}));
 }
 
+// Load pattern: endpoints of a service state request limits.
+BOOST_AUTO_TEST_CASE(limitedEndpointIsWaitedForIfTheOthersWouldTakeLonger)
+{
+    (void)placement.limits().onAnswer(endpoint("near", "a"), 5.0, kNow);
+    BOOST_TEST((placement.choose(first, {}, 0, kNow).wait == Duration::zero()));
+    (void)placement.onSent(EndpointName("near"), first, kNow);
+    placement.onFinished(EndpointName("near"), first);
+    BOOST_TEST(choose(first) == "far");
+    placement.onPeerLoad(Incarnation("p"), EndpointName("far"), {12, 50'000});
+    const Placement::Choice waiting = placement.choose(first, {}, 0, kNow);
+    BOOST_TEST(waiting.endpoint->name.value() == "near");
+    BOOST_TEST((waiting.wait >= 199ms && waiting.wait <= 201ms));
+    // Requests that wait already are served before.
+    BOOST_TEST((placement.choose(first, {}, 0, kNow, {500ms, 1s}).wait == 500ms));
+    // A request that cannot wait for so long goes where it is served.
+    BOOST_TEST(placement.choose(first, {}, 0, kNow, {500ms, 100ms}).endpoint->name.value()
+               == "far");
+    // It is told the time if there is no other endpoint.
+    const Placement::Choice only =
+        placement.choose(first, {EndpointName("far")}, 0, kNow, {500ms, 100ms});
+    BOOST_TEST((only.endpoint != nullptr && only.wait == 500ms));
+}
+
+BOOST_AUTO_TEST_CASE(serviceCarriesItsLimitsAndThePartOfItsOtherEndpoints)
+{
+    BOOST_TEST(placement.carriedRates(kNow).empty());
+    (void)placement.limits().onAnswer(endpoint("near", "a"), 6.0, kNow);
+    const double withOther = placement.carriedRates(kNow).at("engines");
+    BOOST_TEST(withOther > 6.0);
+    (void)placement.limits().onAnswer(endpoint("far", "b"), 3.0, kNow);
+    BOOST_TEST(placement.carriedRates(kNow).at("engines") == 9.0);
+    BOOST_TEST(placement.limitedRate("engines", kNow) == 9.0);
+    placement.limits().setGateways(HostName("x"), {HostName("x"), HostName("y"), HostName("z")},
+                                   kNow);
+    BOOST_TEST(placement.carriedRates(kNow).at("engines") == 3.0);
+}
+
 // Load pattern: a large fleet, whose gateways know the load in other failure domains late.
 BOOST_AUTO_TEST_CASE(ownDomainIsPreferredIfItHasManyEndpoints)
 {
@@ -137,11 +174,11 @@
     for (int i = 0; i < 8; ++i) {
         large.onPeerLoad(Incarnation("p"), EndpointName("a" + std::to_string(i)), {1, 100});
     }
-    BOOST_TEST(large.choose(first, {}, 0, kNow)->failureDomain.value() == "a");
+    BOOST_TEST(large.choose(first, {}, 0, kNow).endpoint->failureDomain.value() == "a");
     for (int i = 0; i < 8; ++i) {
         large.onPeerLoad(Incarnation("p"), EndpointName("a" + std::to_string(i)), {4, 400});
     }
-    BOOST_TEST(large.choose(first, {}, 0, kNow)->failureDomain.value() == "b");
+    BOOST_TEST(large.choose(first, {}, 0, kNow).endpoint->failureDomain.value() == "b");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/basilhall/placement/program_starts.h
+++ b/basilhall/placement/program_starts.h
@@ -25,11 +25,12 @@
 class ProgramStarts
 {
 public:
-    // Requests a second that this gateway may send to each service that has endpoints with a limit
-    // only. Services without an entry are not limited.
+    // Requests a second that this gateway can send to each service that has endpoints with a limit.
+    // Services without an entry are not limited.
     using Rates = std::map<std::string, double>;
 
     void setRates(Rates rates, Instant now);
+    const Rates &rates() const { return m_rates; }
     // True if one more program may begin.
     bool admits(Instant now) const;
     void onStart(Instant now);
