The prefill of a prompt counts for the requests that it delays

Cause: the cost of an engine held the prefill only for the turn itself. A turn left the engine that held its prompt for one with a few requests less, and each such prefill delayed the whole batch there.

--- a/basilhall/placement/placement.cpp
+++ b/basilhall/placement/placement.cpp
@@ -22,6 +22,8 @@
 // Fraction of an engine's cache memory above which it preempts requests.
 constexpr double kPreemptionThreshold = 0.92;
 constexpr double kMillisPerSecond = 1000.0;
+// Part of the prefill time of a prompt that counts for each other request of the batch.
+constexpr double kDelayedPart = 0.2;
 // Cost, in ms, of an endpoint that could get the request only when it is too late.
 constexpr double kTooLateMs = 1e6;
 // Part of the slots of an endpoint without a limit that is planned for while others have one.
@@ -142,7 +144,9 @@
         promptTokens += part.tokens;
     }
     const std::uint64_t cached = state.cache.cachedTokens(work.prompt);
-    double ms = model.prefillMs(promptTokens - cached)
+    // While a prompt is prefilled, the other requests of the batch wait.
+    const double delayed = 1 + kDelayedPart * std::min(load.requests, slots);
+    double ms = model.prefillMs(promptTokens - cached) * delayed
         + model.slowdownMs(std::min(load.requests, slots))
         + model.turnMs() * requestsAhead(load.requests, slots) / slots;
     ms = ms * pace + model.turnMs() * (pace - 1);
--- a/basilhall/placement/placement_test.cpp
+++ b/basilhall/placement/placement_test.cpp
@@ -126,6 +126,18 @@
     BOOST_TEST((placement.occupancy("engines", kNow) == Placement::Occupancy{1, 8}));
 }
 
+// Load pattern: few engines take the turns of many, because the others are limited or gone.
+BOOST_AUTO_TEST_CASE(promptIsNotPrefilledInALargeBatchIfAnotherEngineHoldsIt)
+{
+    const fleet::EngineTraits large{64, 1'000'000, 23};
+    placement.setEndpoint(endpoint("near", "a"), large);
+    placement.setEndpoint(endpoint("far", "b"), large);
+    placement.onPeerUse({EndpointName("far"), first.prompt});
+    placement.onPeerLoad(Incarnation("p"), EndpointName("near"), {20, 200'000});
+    placement.onPeerLoad(Incarnation("p"), EndpointName("far"), {32, 320'000});
+    BOOST_TEST(choose(first) == "far");
+}
+
 // Load pattern: endpoints of a service state request limits.
 BOOST_AUTO_TEST_CASE(limitedEndpointIsWaitedForIfTheOthersWouldTakeLonger)
 {
