Answers without end are given up and their connections closed

Change: one buffered answer is bounded (8 MiB), and all that a gateway reads at a time (24 MiB); so is one event of a stream (1 MiB). The rest of a refusal is read for 100 ms or 64 KiB, then the connection is closed. Heads were bounded before (32 KiB).

--- a/basilhall/gateway/event_splitter.h
+++ b/basilhall/gateway/event_splitter.h
@@ -34,6 +34,8 @@
     std::optional<StreamEvent> next();
     // True if the buffer holds part of an event.
     bool hasPartialEvent() const { return m_eventBegin < m_bytes.size(); }
+    // Size of that part.
+    std::size_t partialBytes() const { return m_bytes.size() - m_eventBegin; }
     // Discards an incomplete event.
     void reset();
 
--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -11,6 +11,7 @@
 #include "basilhall/gateway/call_dialect.h"
 #include "basilhall/gateway/event_splitter.h"
 #include "basilhall/gateway/fleet_state.h"
+#include "basilhall/gateway/internal/buffered_bytes.h"
 #include "basilhall/gateway/internal/call_log.h"
 #include "basilhall/gateway/internal/route_choice.h"
 #include "basilhall/gateway/refusal.h"
@@ -348,14 +349,22 @@
         }
     }
 
-    // Reads and discards the rest of an answer, so that its connection can be reused.
+    // Reads and discards the rest of an answer, so that its connection can be reused. Gives up,
+    // which closes the connection, if the rest is long or late.
     static boost::asio::awaitable<void> drain(http::ResponseStream &stream)
     {
-        while (true) {
-            const auto part = co_await stream.read(kDrainTimeout);
+        const Instant until = MonotonicClock().now() + kDrainTimeout;
+        std::size_t drained = 0;
+        while (drained <= kMaxDrainedBytes) {
+            const Duration left = until - MonotonicClock().now();
+            if (left <= Duration::zero()) {
+                break;
+            }
+            const auto part = co_await stream.read(left);
             if (!part || !part.value()) {
                 break;
             }
+            drained += part.value()->size();
         }
     }
 
@@ -414,12 +423,13 @@
     }
 
     // Reads a complete answer before the deadline.
-    static boost::asio::awaitable<Result<http::Response>>
+    boost::asio::awaitable<Result<http::Response>>
     readResponse(std::shared_ptr<CallContext> context, http::ResponseStream &stream)
     {
         http::Response response;
         response.status = stream.status();
         response.headers = Dialect::callerHeaders(stream.headers());
+        BufferedBytes buffered(m_bufferedBytes);
         context->cancelRead = [&stream] { stream.cancel(); };
         while (true) {
             const auto part = co_await stream.read(std::max(timeLeft(*context), Duration::zero()));
@@ -431,6 +441,13 @@
                 co_return response;
             }
             response.body += *part.value();
+            buffered.add(part.value()->size());
+            if (response.body.size() > kMaxAnswerBytes || m_bufferedBytes > kMaxBufferedBytes) {
+                context->cancelRead = nullptr;
+                co_return Error(ErrorKind::EndpointFailed,
+                                "the answer of endpoint \"" + context->endpoint.value()
+                                    + "\" is too long to buffer");
+            }
         }
     }
 
@@ -613,6 +630,10 @@
                 context->cancelRead = nullptr;
                 co_return written.error();
             }
+            if (splitter.partialBytes() > kMaxEventBytes) {
+                context->cancelRead = nullptr;
+                co_return Error(ErrorKind::EndpointFailed, "the stream has an event without end");
+            }
         }
         if (splitter.hasPartialEvent()) {
             co_return Error(ErrorKind::EndpointFailed,
@@ -714,6 +735,7 @@
     CallLog &m_log;
     std::mt19937_64 &m_random;
     SendQueue m_sendQueue;
+    std::size_t m_bufferedBytes = 0;
 };
 
 } // namespace basilhall::gateway
--- a/basilhall/gateway/internal/route_choice.h
+++ b/basilhall/gateway/internal/route_choice.h
@@ -17,6 +17,12 @@
 // unreachable host.
 inline constexpr Duration kEndpointConnectTimeout = std::chrono::milliseconds(250);
 inline constexpr Duration kDrainTimeout = std::chrono::milliseconds(100);
+inline constexpr std::size_t kMaxDrainedBytes = 64UL * 1024;
+// Bounds on what endpoints make a gateway hold: for one answer, for all answers that are read at
+// the time, and for one event of a stream.
+inline constexpr std::size_t kMaxAnswerBytes = 8UL * 1024 * 1024;
+inline constexpr std::size_t kMaxBufferedBytes = 24UL * 1024 * 1024;
+inline constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
 // An endpoint that could not be reached receives no requests for this time.
 inline constexpr Duration kUnreachablePause = std::chrono::milliseconds(500);
 // An endpoint whose address belongs to another endpoint receives no requests until its registration
