HTTP client: nothing is sent after the time to connect, and a foreign answer is skipped up to 1 MiB

An answer to another request without end was read to the deadline; it fails the request after 1 MiB.

--- a/basilhall/http/client.cpp
+++ b/basilhall/http/client.cpp
@@ -84,8 +84,16 @@
         const Instant deadline = MonotonicClock().now() + timeout;
         Result<void> done = success();
         if (isNew) {
-            connection->deadline().arm(std::min(timeout, options.connectTimeout));
+            const Duration connectTime = std::min(timeout, options.connectTimeout);
+            const Instant connectBy = MonotonicClock().now() + connectTime;
+            connection->deadline().arm(connectTime);
             done = co_await connection->connect();
+            // A process that was paused may see the connection before it sees that time ran out.
+            if (done && MonotonicClock().now() >= connectBy) {
+                done = Error(ErrorKind::DeadlineExceeded,
+                             "time ran out while connecting with " + toString(server))
+                           .withNotRun();
+            }
         }
         connection->deadline().arm(deadline - MonotonicClock().now());
         if (done) {
--- a/basilhall/http/client_test.cpp
+++ b/basilhall/http/client_test.cpp
@@ -3,12 +3,15 @@
 #include "basilhall/base/testing/run_coroutine.h"
 #include "basilhall/http/server.h"
 
+#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/test/unit_test.hpp>
 #include <set>
+#include <thread>
 
 namespace asio = boost::asio;
 using namespace basilhall;
@@ -162,4 +165,25 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(processThatWasPausedDoesNotSendAfterTheConnectTimeout)
+{
+    asio::ip::tcp::acceptor acceptor(context,
+                                     asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const Address address{"127.0.0.1", acceptor.local_endpoint().port()};
+    runCoroutine(context, [&]() -> asio::awaitable<void> {
+        http::RequestOptions options;
+        options.connectTimeout = 50ms;
+        // Runs before the completion of the connect, which the kernel makes at once.
+        asio::post(context, [] { std::this_thread::sleep_for(200ms); });
+        const auto response = co_await client.send(address, get("/"), 2s, options);
+        BOOST_TEST_REQUIRE(!response.has_value());
+        BOOST_TEST((response.error().kind() == ErrorKind::DeadlineExceeded));
+        BOOST_TEST(response.error().notRun());
+        asio::ip::tcp::socket accepted = acceptor.accept();
+        boost::system::error_code error;
+        std::array<char, 64> bytes{};
+        BOOST_TEST(accepted.read_some(asio::buffer(bytes), error) == 0U);
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/basilhall/http/internal/client_response.cpp
+++ b/basilhall/http/internal/client_response.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint32_t kMaxHeaderBytes = 32 * 1024;
 constexpr std::size_t kPartBytes = 32 * 1024;
 constexpr int kFirstFinalStatus = 200;
+constexpr std::size_t kMaxSkippedBytes = 1024 * 1024;
 // The idle timeout of the server starts before the response arrives at the client.
 constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(500);
 constexpr std::string_view kTimeoutParameter = "timeout=";
@@ -101,6 +102,7 @@
 
 asio::awaitable<Result<void>> ClientResponse::skip()
 {
+    std::size_t skipped = 0;
     while (true) {
         const auto part = co_await readPart();
         if (!part) {
@@ -109,6 +111,11 @@
         if (!part.value()) {
             break;
         }
+        skipped += part.value()->size();
+        if (skipped > kMaxSkippedBytes) {
+            co_return Error(ErrorKind::EndpointFailed,
+                            "the response to another request is larger than 1 MiB");
+        }
     }
     if (!m_parser->keep_alive()) {
         co_return Error(ErrorKind::EndpointFailed,
