A stream of events without end is cut at the deadline of its request

An endpoint that sent events faster than the gateway's timer ran kept the stream and the request going: a read with data at hand succeeds even if no time is left, and nothing else looked at the deadline. The new case of endless_answer did not end within 60 s before; now the stream is cut at the deadline. What a kept turn holds of its output is bounded as an answer is.

--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -630,6 +630,16 @@
                 context->cancelRead = nullptr;
                 co_return written.error();
             }
+            // A read with data at hand succeeds even if no time is left.
+            if (timeLeft(*context) <= Duration::zero()) {
+                context->cancelRead = nullptr;
+                co_return Error(ErrorKind::DeadlineExceeded,
+                                "the stream goes on after the deadline of the request");
+            }
+            if (context->output.size() > kMaxAnswerBytes) {
+                context->cancelRead = nullptr;
+                co_return Error(ErrorKind::EndpointFailed, "the stream is too long to keep");
+            }
             if (splitter.partialBytes() > kMaxEventBytes) {
                 context->cancelRead = nullptr;
                 co_return Error(ErrorKind::EndpointFailed, "the stream has an event without end");
