An outage of the object API counts up to the last failed call only

One of two causes: a gateway took the pause before its next call to the object API, and failures of the writing gateway, for a part of the outage, which prolonged the grace period of registrations.

--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -356,8 +356,10 @@
             self->mesh.flush();
             self->keeper.coverOvercounted();
             self->membership.dropUnsubscribed();
-            if (self->keeper.storeFailingFor() >= kStoreOutageThreshold) {
-                self->state.noteStoreOutage(now());
+            const std::optional<Instant> lastFailure = self->keeper.lastStoreFailure();
+            if (lastFailure && self->keeper.storeFailingFor() >= kStoreOutageThreshold) {
+                // The outage may have ended since.
+                self->state.noteStoreOutage(*lastFailure);
             }
             const std::size_t dropped = self->state.expireEndpoints(now());
             if (dropped > 0) {
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -1,6 +1,7 @@
 #include "basilhall/gateway/turn_keeper.h"
 
 #include "basilhall/base/monotonic_clock.h"
+#include "basilhall/gateway/internal/call_failures.h"
 #include "basilhall/gateway/internal/kept_time.h"
 #include "basilhall/gateway/journal_cleaner.h"
 #include "basilhall/gateway/journal_reader.h"
@@ -176,15 +177,17 @@
     void noteStoreResult(bool isAvailable, const std::optional<Error> &error)
     {
         if (isAvailable) {
-            if (failingSince) {
+            if (storeFailures.since()) {
                 log.info("Object API accepts records again.",
-                         Field("after", now() - *failingSince));
+                         Field("after", storeFailures.failingFor(now())));
             }
-            failingSince.reset();
+            storeFailures.onSucceeded();
             commitFailingSince.reset();
-        } else if (!failingSince) {
-            failingSince = now();
-            log.warning("Object API does not accept records.", Field("reason", *error));
+        } else {
+            if (!storeFailures.since()) {
+                log.warning("Object API does not accept records.", Field("reason", *error));
+            }
+            storeFailures.onFailed(now());
         }
     }
 
@@ -233,7 +236,7 @@
                 co_return Error(ErrorKind::StoreUnavailable, "the record is not durable yet")
                     .withRetryAfter(kNotDurableRetry);
             }
-            if (!isRelayed && (time >= relayAt || self->failingSince)) {
+            if (!isRelayed && (time >= relayAt || self->storeFailures.since())) {
                 isRelayed = true;
                 const auto relay = self->relay;
                 if (co_await relay(records)) {
@@ -397,7 +400,7 @@
     WallMillis lastKeptUntil = 0;
     transport::Signal durabilityChanged;
     asio::steady_timer writerTimer;
-    std::optional<Instant> failingSince;
+    CallFailures storeFailures;
     Relay relay;
     Commit commit;
     std::optional<Instant> commitFailedAt;
@@ -600,8 +603,13 @@
 
 Duration TurnKeeper::storeFailingFor() const
 {
-    const Duration failing = d->failingSince ? Private::now() - *d->failingSince : Duration::zero();
-    return std::max(failing, d->commitFailingFor());
+    return std::max(d->storeFailures.failingFor(Private::now()), d->commitFailingFor());
+}
+
+std::optional<Instant> TurnKeeper::lastStoreFailure() const
+{
+    const std::optional<Instant> own = d->storeFailures.last();
+    return own ? own : d->commitFailingFor() > Duration::zero() ? d->commitFailedAt : std::nullopt;
 }
 
 bool TurnKeeper::canPersist() const
@@ -610,7 +618,7 @@
     if (d->commitFailingSince && now - *d->commitFailedAt < kRelayRetry) {
         return false;
     }
-    if (!d->failingSince || now - *d->failingSince < kWriteFailureThreshold) {
+    if (d->storeFailures.failingFor(now) < kWriteFailureThreshold) {
         return true;
     }
     return d->relay && (!d->relayFailedAt || now - *d->relayFailedAt > kRelayRetry);
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -112,6 +112,8 @@
     bool isLoaded() const;
     // How long the object API has failed to accept records; zero if it accepts them.
     Duration storeFailingFor() const;
+    // The last call that showed this failure; nullopt if the object API accepts records.
+    std::optional<Instant> lastStoreFailure() const;
     // False while neither the object API nor a peer accepts records.
     bool canPersist() const;
     // Adds a turn that a peer sent.
