The grace period of a list that is passed on counts from when the list was made

A gateway that fetched it 0.7 s later began that time anew and sent requests to an endpoint that had left for 3.0 s. The class: a duration in a message that is stored and sent later.

Change: replies with a document state its age, which gateways take off and pass on. fetchedDocumentStatesItsAge was written with the change, as it needs the new field.

--- a/basilhall/gateway/document.h
+++ b/basilhall/gateway/document.h
@@ -4,6 +4,8 @@
 //     const Document document{DocumentKind::Endpoints, storeRevision, encodeEndpoints(endpoints)};
 #pragma once
 
+#include "basilhall/base/time.h"
+
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -25,6 +27,8 @@
     // Newer content has a higher version on all gateways; 0 if there is no content.
     std::uint64_t version = 0;
     std::string content;
+    // Time since the content was made.
+    Duration age{};
 
     auto operator<=>(const Document &) const = default;
 };
--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -175,7 +175,9 @@
                       Field("version", document.version), Field("reason", listing.error()));
             return;
         }
-        state.replaceEndpoints(listing.value(), now());
+        EndpointListing current = listing.value();
+        current.graceLeft = std::max(current.graceLeft - document.age, Duration::zero());
+        state.replaceEndpoints(current, now());
         if (!std::exchange(hasEndpointList, true)) {
             log.info("Fetched the endpoints from a peer.",
                      Field("listed", listing.value().endpoints.size()),
@@ -200,9 +202,9 @@
     void publishRegistrations(DocumentKind kind, std::uint64_t revision)
     {
         if (kind == DocumentKind::Endpoints) {
-            mesh.publish({kind, revision, encodeEndpoints(state.endpointListing(now()))});
+            mesh.publish({kind, revision, encodeEndpoints(state.endpointListing(now())), {}});
         } else if (kind == DocumentKind::Members) {
-            mesh.publish({kind, revision, encodeMembers(membership.registered())});
+            mesh.publish({kind, revision, encodeMembers(membership.registered()), {}});
         }
     }
 
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -272,6 +272,9 @@
         if (found != documents.end()) {
             reply.set_version(found->second.version);
             reply.set_content(found->second.content);
+            reply.set_age_ms(static_cast<std::uint32_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(now() - madeAt[found->first])
+                    .count()));
         }
         const Result<void> sent = co_await stream->send(reply.SerializeAsString());
         if (sent) {
@@ -303,7 +306,8 @@
         wire::DocumentReply reply;
         const bool isFetched = message && reply.ParseFromString(*message) && reply.version() > 0;
         if (isFetched && self->exchange.isNewer(fetch.kind, reply.version())) {
-            self->onDocument({fetch.kind, reply.version(), reply.content()});
+            self->onDocument({fetch.kind, reply.version(), reply.content(),
+                              std::chrono::milliseconds(reply.age_ms())});
         }
         const auto known = self->exchange.local().find(fetch.kind);
         const bool isAccepted =
@@ -900,8 +904,10 @@
             applyUpdate(update, now(), self->state);
             self->updateMustConfirm();
             if (update.has_policy()) {
-                self->onDocument(
-                    {DocumentKind::Policy, update.policy().version(), update.policy().document()});
+                self->onDocument({DocumentKind::Policy,
+                                  update.policy().version(),
+                                  update.policy().document(),
+                                  {}});
             }
             peer->watchesStore = update.watches_store();
             DocumentVersions versions;
@@ -965,6 +971,7 @@
     std::map<HostName, std::shared_ptr<Peer>> peers;
     std::unordered_set<std::shared_ptr<Subscriber>> subscribers;
     std::map<DocumentKind, Document> documents;
+    std::map<DocumentKind, Instant> madeAt;
     DocumentExchange exchange;
     std::mt19937_64 random;
     bool isWatchingStore = false;
@@ -1100,6 +1107,7 @@
     if (document.version <= offered.version) {
         return;
     }
+    d->madeAt[document.kind] = Private::now() - document.age;
     offered = std::move(document);
     d->exchange.setLocal(offered.kind, offered.version);
     // Other failure domains learn the version with the next regular update.
--- a/basilhall/gateway/peer_mesh_test.cpp
+++ b/basilhall/gateway/peer_mesh_test.cpp
@@ -115,6 +115,20 @@
     BOOST_TEST(weak->calls + middle->calls > 0);
 }
 
+// What a list says of the time that is left, such as a grace period, counts from when it was made.
+BOOST_AUTO_TEST_CASE(fetchedDocumentStatesItsAge)
+{
+    strong->mesh.publish({DocumentKind::Endpoints, 7, "list", {}});
+    runCoroutine(context, [&]() -> asio::awaitable<void> {
+        asio::steady_timer pause(context, 200ms);
+        (void)co_await pause.async_wait(kTuple);
+    });
+    connect();
+    flushUntil([&] { return !weak->received.empty(); });
+    BOOST_TEST((weak->received.front().age >= 199ms));
+    BOOST_TEST((weak->received.front().age < 5s));
+}
+
 BOOST_AUTO_TEST_CASE(requestLimitsOfEndpointsReachGatewaysThatStartLate)
 {
     fleet::Endpoint endpoint;
--- a/basilhall/gateway/testing/mesh_fixture.h
+++ b/basilhall/gateway/testing/mesh_fixture.h
@@ -52,7 +52,10 @@
                FailureDomain(domain),
                processorMillis},
               state, keeper, logging::Log(),
-              [this](const Document &document) { mesh.publish(document); },
+              [this](const Document &document) {
+                  received.push_back(document);
+                  mesh.publish(document);
+              },
               [this](const Member &member) { onMember(member); })
     {
         keeper.setRelay([this](std::vector<journal::Record> records) {
@@ -68,6 +71,8 @@
     metrics::Registry registry;
     // Called for each gateway that subscribes.
     std::function<void(const Member &)> onMember = [](const Member &) {};
+    // The documents that were fetched from peers.
+    std::vector<Document> received;
     FleetState state;
     int calls = 0;
     bool isCutFromStore = false;
