--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -182,7 +182,7 @@
             if (!selected) {
                 co_return finalError(*context, selected.error());
             }
-            const fleet::Endpoint endpoint = selected.value();
+            const fleet::Endpoint &endpoint = selected.value();
             auto answer = co_await sendTo(context, endpoint);
             if (answer) {
                 co_return answer;
