Logs state which version of an endpoint continues a stream, and how old the list is

The incident's logs could not tell its hypotheses apart: no line named a version, the attempt that a caller continues, or the age of the list of endpoints. The version of a registration is kept, passed between gateways with the list, and logged when an endpoint registers. Each request for the rest of a stream logs the attempt that began it, the last event, the chosen endpoint with its version and start, and the age of the list. No decision depends on these yet.

--- a/basilhall/fleet/endpoint.h
+++ b/basilhall/fleet/endpoint.h
@@ -25,6 +25,8 @@
     // Wall-clock time of its start, in ms; 0 if unknown. An endpoint that restarts under the same
     // name has lost its cache and requests.
     WallMillis startedAt = 0;
+    // Version of its software. A stream that one version began is not continued by another.
+    std::string version{};
 
     auto operator<=>(const Endpoint &) const = default;
 };
--- a/basilhall/gateway/call.h
+++ b/basilhall/gateway/call.h
@@ -46,6 +46,9 @@
     turns::TurnId previousTurn;
     // The last event that the caller has received in an earlier attempt.
     std::optional<std::uint64_t> lastEvent;
+    // The attempt that brought the first event of the stream that this one continues; empty if not
+    // stated.
+    CallId continues;
 
     auto operator<=>(const Call &) const = default;
 };
--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -17,6 +17,7 @@
 #include "basilhall/turns/budget_ledger.h"
 #include "basilhall/turns/turn_table.h"
 
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -64,6 +65,10 @@
     // The registered endpoints, to pass to a peer.
     EndpointListing endpointListing(Instant now) const;
     std::size_t endpointCount() const { return m_directory.endpoints().size(); }
+    // The list of endpoints was known to be complete and current at `at`.
+    void noteEndpointsCurrent(Instant at) { m_endpointsCurrentAt = at; }
+    // nullopt before the first list.
+    std::optional<Instant> endpointsCurrentAt() const { return m_endpointsCurrentAt; }
     bool hasEndpoint(const EndpointName &name) const;
     // The endpoint announced that it leaves: this process of it gets no new requests, whatever its
     // registration states. Returns false if that was known.
@@ -98,6 +103,7 @@
     Incarnation m_self;
     fleet::PolicyPtr m_policy;
     fleet::EndpointDirectory m_directory;
+    std::optional<Instant> m_endpointsCurrentAt;
     fleet::LeavingEndpoints m_leaving;
     placement::Placement m_placement;
     placement::ProgramStarts m_programStarts;
--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -373,6 +373,9 @@
         context->sentAt = MonotonicClock().now();
         context->sendConditions =
             m_state.placement().onSent(endpoint.name, context->work, context->sentAt);
+        if (context->lastEvent) {
+            m_log.continued(*context, endpoint, m_state.endpointsCurrentAt());
+        }
         http::RequestOptions options;
         options.cancellation = context->cancellation;
         options.connectTimeout = kEndpointConnectTimeout;
--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include "basilhall/gateway/peer_mesh.h"
 #include "basilhall/gateway/registration_codec.h"
 #include "basilhall/logging/log_system.h"
+#include "basilhall/logging/public_text.h"
 #include "basilhall/metrics/registry.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -180,6 +181,7 @@
         EndpointListing current = listing.value();
         current.graceLeft = std::max(current.graceLeft - document.age, Duration::zero());
         state.replaceEndpoints(current, now());
+        state.noteEndpointsCurrent(now() - document.age);
         if (!std::exchange(hasEndpointList, true)) {
             log.info("Fetched the endpoints from a peer.",
                      Field("listed", listing.value().endpoints.size()),
@@ -204,6 +206,7 @@
     void publishRegistrations(DocumentKind kind, std::uint64_t revision)
     {
         if (kind == DocumentKind::Endpoints) {
+            state.noteEndpointsCurrent(now());
             mesh.publish({kind, revision, encodeEndpoints(state.endpointListing(now())), {}});
         } else if (kind == DocumentKind::Members) {
             mesh.publish({kind, revision, encodeMembers(membership.registered()), {}});
@@ -491,7 +494,8 @@
         d->state.setEndpoint(endpoint);
         d->log.info("Endpoint registered.", Field("endpoint", endpoint.name),
                     Field("leaving", endpoint.isLeaving), Field("address", endpoint.address),
-                    Field("started", endpoint.startedAt));
+                    Field("started", endpoint.startedAt),
+                    Field("version", logging::PublicText(endpoint.version)));
     };
     events.endpointRemoved = [d = d](const EndpointName &name) {
         d->state.removeEndpoint(name, Private::now());
--- a/basilhall/gateway/internal/call_log.cpp
+++ b/basilhall/gateway/internal/call_log.cpp
@@ -135,6 +135,17 @@
                   Field("runs", context.runs), Field("wait", wait));
 }
 
+void CallLog::continued(const CallContext &context, const fleet::Endpoint &endpoint,
+                        std::optional<Instant> listedAt)
+{
+    const Duration age = listedAt ? MonotonicClock().now() - *listedAt : Duration::max();
+    m_log.info("Requests the rest of a stream.", Field("call", context.call.id),
+               Field("began_as", context.call.continues),
+               Field("after_event", context.lastEvent.value_or(0)),
+               Field("endpoint", endpoint.name), Field("started", endpoint.startedAt),
+               Field("version", PublicText(endpoint.version)), Field("list_age", age));
+}
+
 void CallLog::failed(const CallContext &context, const Error &error)
 {
     m_log.warning("Attempt failed.", Field("call", context.call.id),
--- a/basilhall/gateway/internal/call_log.h
+++ b/basilhall/gateway/internal/call_log.h
@@ -47,6 +47,10 @@
     void sound(const CallContext &context);
     // The request is refused because endpoints ended while they ran it.
     void held(const CallContext &context, const suspects::Suspicion &suspicion, Duration wait);
+    // The rest of a stream is requested from an endpoint; the list of endpoints was current at
+    // `listedAt`.
+    void continued(const CallContext &context, const fleet::Endpoint &endpoint,
+                   std::optional<Instant> listedAt);
     // An attempt failed; the request may have run.
     void failed(const CallContext &context, const Error &error);
     void finished(const CallContext &context, const Result<void> &outcome);
--- a/basilhall/gateway/registration_codec.cpp
+++ b/basilhall/gateway/registration_codec.cpp
@@ -19,6 +19,7 @@
         entry.set_slots(endpoint.slots);
         entry.set_leaving(endpoint.isLeaving);
         entry.set_started_wall_ms(endpoint.startedAt);
+        entry.set_version(endpoint.version);
     }
     return list.SerializeAsString();
 }
@@ -39,7 +40,7 @@
         }
         listing.endpoints.push_back({EndpointName(entry.name()), entry.service(), address.value(),
                                      FailureDomain(entry.failure_domain()), entry.slots(),
-                                     entry.leaving(), entry.started_wall_ms()});
+                                     entry.leaving(), entry.started_wall_ms(), entry.version()});
     }
     return listing;
 }
--- a/basilhall/gateway/registration_codec_test.cpp
+++ b/basilhall/gateway/registration_codec_test.cpp
@@ -10,7 +10,7 @@
 BOOST_AUTO_TEST_CASE(decodeReturnsTheEncodedEndpoints)
 {
     const EndpointListing listing{
-        {{EndpointName("e"), "engines", {"10.0.0.1", 80}, FailureDomain("a"), 6, true, 1234}},
+        {{EndpointName("e"), "engines", {"10.0.0.1", 80}, FailureDomain("a"), 6, true, 1234, "v1"}},
         std::chrono::milliseconds(1500)};
     const auto decoded = decodeEndpoints(encodeEndpoints(listing));
     BOOST_TEST_REQUIRE(decoded.has_value());
