--- a/basilhall/gateway/call_context.h
+++ b/basilhall/gateway/call_context.h
@@ -11,6 +11,7 @@
 #include "basilhall/http/exchange.h"
 #include "basilhall/placement/engine_model.h"
 #include "basilhall/placement/work.h"
+#include "basilhall/resumption/stream_origin.h"
 #include "basilhall/suspects/request_key.h"
 
 #include <cstdint>
@@ -46,6 +47,13 @@
     EndpointName endpoint;
     // As it was registered at the time of the send.
     fleet::Endpoint sentTo;
+    // Time at which the connection of the current answer had been established.
+    Instant connectedAt;
+    // For the rest of a stream that a caller continues: where the stream began, if that is
+    // recorded.
+    std::optional<resumption::StreamOrigin> origin;
+    // The first event came from the process that is registered with `work.version`.
+    bool isVersionProven = false;
     // The last send, and the state of its endpoint at that time.
     Instant sentAt;
     placement::SendConditions sendConditions;
--- a/basilhall/gateway/fleet_state.cpp
+++ b/basilhall/gateway/fleet_state.cpp
@@ -12,6 +12,8 @@
 // Fraction of a team's burst that is reserved for programs in progress. A program makes about 10
 // more requests a second, and the work of a program that is refused halfway is wasted.
 constexpr double kReserveForPrograms = 0.4;
+// A list that is older may lack a version that already serves.
+constexpr Duration kMaxListAge = std::chrono::seconds(1);
 // Retry time for a team whose limit is 0.
 constexpr Duration kZeroRateRetry = std::chrono::seconds(5);
 
@@ -66,17 +68,19 @@
 void FleetState::replaceEndpoints(const std::vector<fleet::Endpoint> &listed, bool afterOutage,
                                   Instant now)
 {
-    std::vector<EndpointName> before;
-    for (const auto &[name, endpoint] : m_directory.endpoints()) {
-        before.push_back(name);
-    }
+    const std::unordered_map<EndpointName, fleet::Endpoint> before = m_directory.endpoints();
     m_directory.replaceAll(listed, afterOutage, now);
-    for (const EndpointName &name : before) {
-        if (m_directory.find(name) == nullptr) {
+    for (const auto &[name, endpoint] : before) {
+        const fleet::Endpoint *still = m_directory.find(name);
+        if (still == nullptr || still->version != endpoint.version) {
+            m_versions.onReplaced(endpoint, now);
+        }
+        if (still == nullptr) {
             m_placement.removeEndpoint(name);
             m_crashes.onRemoved(name, now);
         }
     }
+    m_versions.begin(now);
     placeAll();
 }
 
@@ -88,14 +92,21 @@
     replaceEndpoints(listing.endpoints, false, now);
 }
 
-void FleetState::setEndpoint(const fleet::Endpoint &endpoint)
+void FleetState::setEndpoint(const fleet::Endpoint &endpoint, Instant now)
 {
+    const fleet::Endpoint *before = m_directory.find(endpoint.name);
+    if (before != nullptr && before->version != endpoint.version) {
+        m_versions.onReplaced(*before, now);
+    }
     m_directory.set(endpoint);
     place(endpoint);
 }
 
 void FleetState::removeEndpoint(const EndpointName &name, Instant now)
 {
+    if (const fleet::Endpoint *before = m_directory.find(name)) {
+        m_versions.onReplaced(*before, now);
+    }
     m_directory.remove(name, now);
     if (m_directory.find(name) == nullptr) {
         m_placement.removeEndpoint(name);
@@ -105,6 +116,11 @@
 
 std::size_t FleetState::expireEndpoints(Instant now)
 {
+    if (m_directory.nextExpiry() && now >= *m_directory.nextExpiry()) {
+        for (const auto &[name, endpoint] : m_directory.endpoints()) {
+            m_versions.onReplaced(endpoint, now);
+        }
+    }
     const std::vector<EndpointName> dropped = m_directory.expire(now);
     for (const EndpointName &name : dropped) {
         m_placement.removeEndpoint(name);
@@ -122,6 +138,15 @@
             graceEnd && now < *graceEnd ? *graceEnd - now : Duration::zero()};
 }
 
+std::optional<std::string> FleetState::onlyVersion(const std::string &service, Duration span,
+                                                   Instant now) const
+{
+    if (!m_endpointsCurrentAt || now - *m_endpointsCurrentAt > kMaxListAge) {
+        return std::nullopt;
+    }
+    return m_versions.onlyVersion(service, m_directory.endpoints(), now - span);
+}
+
 bool FleetState::hasEndpoint(const EndpointName &name) const
 {
     return m_directory.find(name) != nullptr;
--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -2,7 +2,7 @@
 //
 //     FleetState state(self, domain);
 //     state.applyPolicy(policy, now);
-//     state.setEndpoint(endpoint);
+//     state.setEndpoint(endpoint, now);
 //     Result<void> admitted = state.admit(team, beginsProgram, now);
 #pragma once
 
@@ -10,9 +10,11 @@
 #include "basilhall/fleet/endpoint_directory.h"
 #include "basilhall/fleet/leaving_endpoints.h"
 #include "basilhall/fleet/policy.h"
+#include "basilhall/fleet/version_history.h"
 #include "basilhall/limit/shared_rate.h"
 #include "basilhall/placement/placement.h"
 #include "basilhall/placement/program_starts.h"
+#include "basilhall/resumption/origin_table.h"
 #include "basilhall/suspects/crash_evidence.h"
 #include "basilhall/turns/budget_ledger.h"
 #include "basilhall/turns/turn_table.h"
@@ -58,7 +60,7 @@
     void noteStoreOutage(Instant now) { m_directory.noteOutage(now); }
     // Applies the list of a peer.
     void replaceEndpoints(const EndpointListing &listing, Instant now);
-    void setEndpoint(const fleet::Endpoint &endpoint);
+    void setEndpoint(const fleet::Endpoint &endpoint, Instant now);
     void removeEndpoint(const EndpointName &name, Instant now);
     // Drops registrations that were not renewed within the grace period. Returns their number.
     std::size_t expireEndpoints(Instant now);
@@ -70,6 +72,10 @@
     // nullopt before the first list.
     std::optional<Instant> endpointsCurrentAt() const { return m_endpointsCurrentAt; }
     bool hasEndpoint(const EndpointName &name) const;
+    // The only version of the service that was registered in the last `span`; nullopt if there were
+    // several, or if the list of endpoints is shorter known or not current.
+    std::optional<std::string> onlyVersion(const std::string &service, Duration span,
+                                           Instant now) const;
     // The endpoint announced that it leaves: this process of it gets no new requests, whatever its
     // registration states. Returns false if that was known.
     bool markLeaving(const fleet::Endpoint &endpoint, Instant now);
@@ -93,6 +99,9 @@
     placement::ProgramStarts &programStarts() { return m_programStarts; }
     // Requests that may have crashed endpoints.
     suspects::CrashEvidence &crashes() { return m_crashes; }
+    // Where the streams began that this gateway was told of.
+    resumption::OriginTable &origins() { return m_origins; }
+    const resumption::OriginTable &origins() const { return m_origins; }
     turns::TurnTable &turns() { return m_turns; }
     turns::BudgetLedger &budgets() { return m_budgets; }
 
@@ -104,10 +113,12 @@
     fleet::PolicyPtr m_policy;
     fleet::EndpointDirectory m_directory;
     std::optional<Instant> m_endpointsCurrentAt;
+    fleet::VersionHistory m_versions;
     fleet::LeavingEndpoints m_leaving;
     placement::Placement m_placement;
     placement::ProgramStarts m_programStarts;
     suspects::CrashEvidence m_crashes;
+    resumption::OriginTable m_origins;
     turns::TurnTable m_turns;
     turns::BudgetLedger m_budgets;
     std::unordered_map<TeamName, limit::SharedRate> m_rates;
--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -1,7 +1,7 @@
 // Serves the requests of callers: checks them, applies limits, sends each to an endpoint and
 // forwards the answer.
 //
-//     Forwarder<Dialect> forwarder(client, state, keeper, askHome, log, random);
+//     Forwarder<Dialect> forwarder(client, state, keeper, askHome, origins, log, random);
 //     http::Server server(executor, listen, limits,
 //                         [&](auto exchange) { return forwarder.serve(std::move(exchange)); });
 #pragma once
@@ -15,16 +15,21 @@
 #include "basilhall/gateway/internal/call_log.h"
 #include "basilhall/gateway/internal/route_choice.h"
 #include "basilhall/gateway/internal/suspect_runs.h"
+#include "basilhall/gateway/process_prover.h"
 #include "basilhall/gateway/refusal.h"
 #include "basilhall/gateway/send_queue.h"
+#include "basilhall/gateway/stream_origins.h"
 #include "basilhall/gateway/turn_keeper.h"
 #include "basilhall/http/client.h"
 #include "basilhall/placement/program_admission.h"
+#include "basilhall/resumption/continuation_policy.h"
 #include "basilhall/suspects/suspect_policy.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -44,11 +49,13 @@
         std::function<boost::asio::awaitable<Result<turns::Admission>>(turns::TurnBudget)>;
 
     Forwarder(http::Client &client, FleetState &state, TurnKeeper &keeper, AskHome askHome,
-              CallLog &log, std::mt19937_64 &random)
+              StreamOrigins &origins, CallLog &log, std::mt19937_64 &random)
         : m_client(client)
         , m_state(state)
         , m_keeper(keeper)
         , m_askHome(std::move(askHome))
+        , m_origins(origins)
+        , m_prover(client, log)
         , m_log(log)
         , m_random(random)
     {
@@ -135,10 +142,12 @@
             .withRetryAfter(overloadRetry(hash));
     }
 
-    // True for the first turn of a program that this gateway does not know.
+    // True for the first turn of a program that this gateway does not know. The rest of a stream
+    // begins no program: its first part has been paid for.
     bool beginsProgram(const CallContext &context) const
     {
-        return context.route->kind == fleet::CallKind::Stream && context.call.previousTurn.isEmpty()
+        return !context.call.lastEvent && context.route->kind == fleet::CallKind::Stream
+            && context.call.previousTurn.isEmpty()
             && !m_state.budgets().knows(context.call.program);
     }
 
@@ -421,6 +430,7 @@
                 .withRetryAfter(kRefusedRetry);
         }
         ++context->runs;
+        context->connectedAt = answer.value()->connectedAt();
         if (!facts.isSigned && answer.value()->status() < kFirstErrorStatus) {
             m_state.placement().onFinished(endpoint.name, context->work);
             context->tried.insert(endpoint.name);
@@ -584,7 +594,10 @@
 
     boost::asio::awaitable<Result<void>> serveStream(std::shared_ptr<CallContext> context)
     {
-        const Result<void> ready = co_await prepareTurn(context);
+        Result<void> ready = co_await prepareContinuation(context);
+        if (ready) {
+            ready = co_await prepareTurn(context);
+        }
         if (!ready) {
             refundIfNotRun(*context, ready.error());
             co_return ready.error();
@@ -601,6 +614,32 @@
         co_return done;
     }
 
+    // Restricts the rest of a stream to the version that began it.
+    boost::asio::awaitable<Result<void>> prepareContinuation(std::shared_ptr<CallContext> context)
+    {
+        if (!context->call.lastEvent) {
+            co_return success();
+        }
+        resumption::Continuation continuation = continuationOf(*context);
+        if (continuation.isNamed) {
+            continuation.origin = co_await m_origins.find(context->call.continues);
+        } else {
+            continuation.onlyVersion = m_state.onlyVersion(
+                continuation.service, context->route->timeout + kMaxListDelay,
+                MonotonicClock().now());
+        }
+        const Result<resumption::StreamVersion> version = resumption::versionFor(continuation);
+        if (!version) {
+            m_log.notContinued(*context, version.error());
+            co_return version.error();
+        }
+        context->origin = std::move(continuation.origin);
+        context->work.service = version.value().service;
+        context->work.version = version.value().version;
+        m_log.continues(*context);
+        co_return success();
+    }
+
     // Builds the prompt of a kept turn and reserves its maximum tokens in the budget of the
     // program.
     boost::asio::awaitable<Result<void>> prepareTurn(std::shared_ptr<CallContext> context)
@@ -721,6 +760,65 @@
                 || context->runs >= context->route->maxAttempts) {
                 co_return forwarded.error();
             }
+            const bool isKnown = co_await isVersionKnown(context);
+            if (!isKnown) {
+                co_return forwarded.error();
+            }
+        }
+    }
+
+    // True unless events were forwarded that a process of unknown version may have sent.
+    boost::asio::awaitable<bool> isVersionKnown(std::shared_ptr<CallContext> context)
+    {
+        if (context->events == 0 || context->isVersionProven) {
+            co_return true;
+        }
+        co_return co_await m_prover.prove(context->sentTo, context->connectedAt);
+    }
+
+    // Records where the stream began, once it is known which process sent its first event.
+    void noteFirstEvent(const std::shared_ptr<CallContext> &context)
+    {
+        if (!context->route->isResumable) {
+            return;
+        }
+        if (context->call.lastEvent) {
+            if (context->origin) {
+                context->origin->keptUntil = continuableUntil(*context);
+                m_origins.add(*context->origin);
+            }
+            return;
+        }
+        context->work.version = context->sentTo.version;
+        if (m_prover.isProven(context->sentTo, context->connectedAt)) {
+            context->isVersionProven = true;
+            recordOrigin(originOf(*context));
+        } else {
+            boost::asio::co_spawn(
+                m_client.executor(),
+                proveOrigin(context, context->sentTo, context->connectedAt, originOf(*context)),
+                boost::asio::detached);
+        }
+    }
+
+    // The endpoint and the connection may be those of an earlier run once the answer arrives.
+    boost::asio::awaitable<void> proveOrigin(std::shared_ptr<CallContext> context,
+                                             fleet::Endpoint endpoint, Instant connectedAt,
+                                             resumption::StreamOrigin origin)
+    {
+        const bool isProven = co_await m_prover.prove(endpoint, connectedAt);
+        if (isProven) {
+            context->isVersionProven = true;
+            recordOrigin(origin);
+        } else {
+            m_log.originUnproven(*context, endpoint);
+        }
+    }
+
+    void recordOrigin(const resumption::StreamOrigin &origin)
+    {
+        if (!origin.attempt.isEmpty()) {
+            m_origins.add(origin);
         }
     }
 
@@ -745,6 +843,15 @@
         if (stream.status() != kOk) {
             co_return co_await forwardFailure(context, stream);
         }
+        if (context->lastEvent) {
+            const bool isProven = co_await m_prover.prove(context->sentTo, context->connectedAt);
+            if (!isProven) {
+                co_return Error(ErrorKind::EndpointFailed,
+                                "endpoint \"" + context->sentTo.name.value()
+                                    + "\" may have been replaced by another version");
+            }
+            context->isVersionProven = true;
+        }
         EventSplitter splitter;
         context->cancelRead = [&stream] { stream.cancel(); };
         while (true) {
@@ -808,7 +915,9 @@
                 continue;
             }
             text += event->text;
-            ++context->events;
+            if (context->events++ == 0) {
+                noteFirstEvent(context);
+            }
             if (event->id) {
                 context->lastEvent = event->id;
             }
@@ -877,6 +986,8 @@
     FleetState &m_state;
     TurnKeeper &m_keeper;
     AskHome m_askHome;
+    StreamOrigins &m_origins;
+    ProcessProver<Dialect> m_prover;
     CallLog &m_log;
     std::mt19937_64 &m_random;
     SendQueue m_sendQueue;
--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -491,7 +491,7 @@
                     Field("after_outage", afterOutage), Field("known", d->state.endpointCount()));
     };
     events.endpointChanged = [d = d](const fleet::Endpoint &endpoint) {
-        d->state.setEndpoint(endpoint);
+        d->state.setEndpoint(endpoint, Private::now());
         d->log.info("Endpoint registered.", Field("endpoint", endpoint.name),
                     Field("leaving", endpoint.isLeaving), Field("address", endpoint.address),
                     Field("started", endpoint.startedAt),
--- a/basilhall/gateway/internal/call_log.cpp
+++ b/basilhall/gateway/internal/call_log.cpp
@@ -35,6 +35,7 @@
     , m_started(registry.counter(Metric::CallsStarted, "request"))
     , m_ok(registry.counter(Metric::CallsFinished, "ok"))
     , m_held(registry.counter(Metric::SuspectsHeld))
+    , m_notContinued(registry.counter(Metric::StreamsNotContinued))
     , m_seconds(registry.quantile(Metric::CallSeconds, "request"))
     , m_firstSeconds(registry.quantile(Metric::FirstTokenSeconds))
 {
@@ -135,6 +136,43 @@
                   Field("runs", context.runs), Field("wait", wait));
 }
 
+void CallLog::continues(const CallContext &context)
+{
+    const WallMillis age =
+        context.origin ? MonotonicClock().wallMillis() - context.origin->sentAt : 0;
+    m_log.info("A caller continues a stream.", Field("call", context.call.id),
+               Field("began_as", context.call.continues),
+               Field("service", PublicText(context.work.service)),
+               Field("version", PublicText(context.work.version.value_or(""))),
+               Field("known_by", PublicText(context.origin ? "record" : "only version")),
+               Field("began_at", context.origin ? context.origin->endpoint : EndpointName()),
+               Field("age_ms", age));
+}
+
+void CallLog::notContinued(const CallContext &context, const Error &error)
+{
+    m_notContinued.add();
+    m_log.warning("Refused to continue a stream.", Field("call", context.call.id),
+                  Field("began_as", context.call.continues),
+                  Field("after_event", context.call.lastEvent.value_or(0)), Field("reason", error));
+}
+
+void CallLog::originUnproven(const CallContext &context, const fleet::Endpoint &endpoint)
+{
+    m_log.warning("The version that began a stream is unknown; the stream cannot be continued.",
+                  Field("call", context.call.id), Field("endpoint", endpoint.name),
+                  Field("started", endpoint.startedAt),
+                  Field("version", PublicText(endpoint.version)));
+}
+
+void CallLog::processUnproven(const fleet::Endpoint &endpoint, std::optional<WallMillis> startedAt)
+{
+    m_log.warning("Endpoint does not state the registered start of its process.",
+                  Field("endpoint", endpoint.name), Field("registered", endpoint.startedAt),
+                  Field("stated", startedAt.value_or(0)),
+                  Field("version", PublicText(endpoint.version)));
+}
+
 void CallLog::continued(const CallContext &context, const fleet::Endpoint &endpoint,
                         std::optional<Instant> listedAt)
 {
@@ -168,6 +206,7 @@
             "Served.", Field("call", context.call.id), Field("program", context.call.program),
             Field("route", PublicText(routeName(context))), Field("endpoint", context.endpoint),
             Field("sends", context.sends), Field("events", context.events), Field("took", took),
+            Field("first_event", context.firstEventAt.value_or(now) - context.arrivedAt),
             Field("budget", context.call.tokenBudget.value_or(0)),
             Field("policy", versionOf(context)));
         return;
--- a/basilhall/gateway/internal/call_log.h
+++ b/basilhall/gateway/internal/call_log.h
@@ -47,6 +47,15 @@
     void sound(const CallContext &context);
     // The request is refused because endpoints ended while they ran it.
     void held(const CallContext &context, const suspects::Suspicion &suspicion, Duration wait);
+    // The rest of a stream may be requested: its origin is recorded, or there was one version only.
+    void continues(const CallContext &context);
+    // The version that began a stream is unknown, so the request for its rest is refused.
+    void notContinued(const CallContext &context, const Error &error);
+    // It is not known which version sent the first event of a stream.
+    void originUnproven(const CallContext &context, const fleet::Endpoint &endpoint);
+    // An endpoint that was asked for the start of its process did not state the registered one;
+    // nullopt if it stated none.
+    void processUnproven(const fleet::Endpoint &endpoint, std::optional<WallMillis> startedAt);
     // The rest of a stream is requested from an endpoint; the list of endpoints was current at
     // `listedAt`.
     void continued(const CallContext &context, const fleet::Endpoint &endpoint,
@@ -62,6 +71,7 @@
     metrics::Counter &m_started;
     metrics::Counter &m_ok;
     metrics::Counter &m_held;
+    metrics::Counter &m_notContinued;
     metrics::Quantile &m_seconds;
     metrics::Quantile &m_firstSeconds;
     std::uint64_t m_running = 0;
--- a/basilhall/gateway/internal/peer_requests.cpp
+++ b/basilhall/gateway/internal/peer_requests.cpp
@@ -60,6 +60,8 @@
         reply = co_await admit(stream->request());
     } else if (stream->method() == kTurnMethod) {
         reply = co_await turn(stream->request());
+    } else if (stream->method() == kStreamMethod) {
+        reply = this->stream(stream->request());
     } else if (stream->method() == kLedgerMethod && m_keeper.knowsLedger()) {
         reply = ledger();
     } else if (stream->method() == kLedgerMethod) {
@@ -197,6 +199,20 @@
     co_return reply.SerializeAsString();
 }
 
+std::string PeerRequests::stream(const std::string &request) const
+{
+    wire::StreamRequest message;
+    if (!message.ParseFromString(request)) {
+        return {};
+    }
+    wire::StreamReply reply;
+    reply.set_incarnation(m_state.self().value());
+    if (const auto *origin = std::as_const(m_state).origins().find(CallId(message.call_id()))) {
+        *reply.mutable_stream() = toRecord(*origin);
+    }
+    return reply.SerializeAsString();
+}
+
 std::string PeerRequests::ledger() const
 {
     wire::LedgerReply reply;
--- a/basilhall/gateway/internal/peer_requests.h
+++ b/basilhall/gateway/internal/peer_requests.h
@@ -1,4 +1,5 @@
-// Answers the requests of peers: to keep records, to admit a turn, to send a turn or the ledger.
+// Answers the requests of peers: to keep records, to admit a turn, to send a turn, the ledger or
+// where a stream began.
 //
 //     PeerRequests requests(state, keeper, log, receivesAllTurns, broadcastChanges, journalMarks,
 //                           listedByHolder, forwardTurn);
@@ -29,6 +30,7 @@
 inline const std::string kAdmitMethod = "/admit";
 inline const std::string kTurnMethod = "/turn";
 inline const std::string kLedgerMethod = "/ledger";
+inline const std::string kStreamMethod = "/stream";
 
 // Not thread-safe. The references must outlive it.
 class PeerRequests
@@ -59,6 +61,7 @@
     // Reads the content of the chain that is stored, but not known.
     boost::asio::awaitable<void> readContent(turns::TurnId id);
     std::string ledger() const;
+    std::string stream(const std::string &request) const;
 
     FleetState &m_state;
     TurnKeeper &m_keeper;
--- a/basilhall/gateway/internal/route_choice.cpp
+++ b/basilhall/gateway/internal/route_choice.cpp
@@ -1,5 +1,7 @@
 #include "basilhall/gateway/internal/route_choice.h"
 
+#include "basilhall/base/monotonic_clock.h"
+
 #include <algorithm>
 #include <functional>
 #include <string_view>
@@ -103,11 +105,49 @@
 
 Error noEndpoint(const CallContext &context)
 {
+    if (context.work.version) {
+        return Error(ErrorKind::Unavailable,
+                     "no endpoint of service \"" + context.work.service + "\" with version \""
+                         + *context.work.version + "\", which began the stream, is available")
+            .withRetryAfter(kNoEndpointRetry);
+    }
     return Error(ErrorKind::Unavailable,
                  "no endpoint of service \"" + context.work.service + "\" is available")
         .withRetryAfter(kNoEndpointRetry);
 }
 
+resumption::Continuation continuationOf(const CallContext &context)
+{
+    resumption::Continuation continuation;
+    continuation.isNamed = !context.call.continues.isEmpty();
+    continuation.team = teamOf(context);
+    for (const fleet::WeightedService &part : context.route->services) {
+        continuation.services.insert(part.service);
+    }
+    continuation.service = context.work.service;
+    return continuation;
+}
+
+resumption::StreamOrigin originOf(const CallContext &context)
+{
+    const WallMillis now = MonotonicClock().wallMillis();
+    const auto sentFor = std::chrono::duration_cast<std::chrono::milliseconds>(
+        MonotonicClock().now() - context.sentAt);
+    return {context.call.id,        teamOf(context),          context.work.service,
+            context.sentTo.version, context.sentTo.name,      context.sentTo.startedAt,
+            now - sentFor.count(),  continuableUntil(context)};
+}
+
+WallMillis continuableUntil(const CallContext &context)
+{
+    const Duration timeLimit =
+        std::max(context.call.timeLeft.value_or(context.route->timeout), context.route->timeout);
+    const Duration left =
+        context.arrivedAt + timeLimit + kContinuationMargin - MonotonicClock().now();
+    return MonotonicClock().wallMillis()
+        + std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
+}
+
 Error limitReached(const CallContext &context, Duration wait)
 {
     return Error(ErrorKind::Overloaded,
--- a/basilhall/gateway/internal/route_choice.h
+++ b/basilhall/gateway/internal/route_choice.h
@@ -7,6 +7,7 @@
 #include "basilhall/base/result.h"
 #include "basilhall/gateway/call_context.h"
 #include "basilhall/gateway/send_queue.h"
+#include "basilhall/resumption/continuation.h"
 
 namespace basilhall::gateway
 {
@@ -52,6 +53,10 @@
 inline constexpr Duration kCoverTimeout = std::chrono::milliseconds(700);
 // Maximum admission attempts per turn: enough for a record, a change of the home, and the answer.
 inline constexpr std::uint32_t kAdmissionRounds = 5;
+// Another gateway may still choose an endpoint this long after its registration has been removed.
+inline constexpr Duration kMaxListDelay = std::chrono::milliseconds(1500);
+// Added to the time of a caller to cover clock differences between hosts.
+inline constexpr Duration kContinuationMargin = std::chrono::seconds(5);
 // Added to the retention of a turn to cover clock differences between hosts.
 inline constexpr Duration kRetentionMargin = std::chrono::seconds(5);
 
@@ -67,6 +72,12 @@
 // after those that can still end in time.
 std::uint32_t priorityOf(const CallContext &context);
 Error noEndpoint(const CallContext &context);
+// Returns what is known of the stream that the call continues, without its origin.
+resumption::Continuation continuationOf(const CallContext &context);
+// Returns where the stream of the call began: at the endpoint of the current answer.
+resumption::StreamOrigin originOf(const CallContext &context);
+// Returns the wall-clock time in ms until which the caller may continue its stream.
+WallMillis continuableUntil(const CallContext &context);
 // The endpoints of the service have reached the limits that they state; one of them may be sent
 // this request after `wait`.
 Error limitReached(const CallContext &context, Duration wait);
--- a/basilhall/gateway/internal/update_codec.cpp
+++ b/basilhall/gateway/internal/update_codec.cpp
@@ -102,6 +102,12 @@
                                            now - std::chrono::milliseconds(limit.age_ms())};
         (void)state.placement().limits().onPeerAnswer(EndpointName(limit.endpoint()), stated, now);
     }
+    for (const journal::StreamBegun &stream : update.streams()) {
+        state.origins().add(fromRecord(stream));
+    }
+    for (const journal::StreamBegun &stream : update.streams_to_write()) {
+        state.origins().add(fromRecord(stream));
+    }
     for (const wire::PromptUse &use : update.uses()) {
         placement::PromptUse known{EndpointName(use.endpoint()), {}};
         for (const wire::PromptPart &part : use.parts()) {
--- a/basilhall/gateway/journal_reader.cpp
+++ b/basilhall/gateway/journal_reader.cpp
@@ -105,6 +105,8 @@
             } else if (record.has_program_spend()) {
                 state.budgets().onJournalReport(Incarnation(record.program_spend().incarnation()),
                                                 fromRecord(record.program_spend()), now());
+            } else if (record.has_stream_begun()) {
+                state.origins().add(fromRecord(record.stream_begun()));
             }
         }
         const Incarnation incarnation(batch.value().incarnation());
@@ -143,6 +145,9 @@
                 ledgers.hasDamaged = true;
             } else if (snapshot.value().incarnation != self->state.self()) {
                 self->cleaner.onLedger(snapshot.value().incarnation, spendingKeptUntil());
+                for (const resumption::StreamOrigin &origin : snapshot.value().streams) {
+                    self->state.origins().add(origin);
+                }
                 ledgers.snapshots.push_back(std::move(snapshot).value());
             }
         }
--- a/basilhall/gateway/ledger_snapshot.cpp
+++ b/basilhall/gateway/ledger_snapshot.cpp
@@ -20,6 +20,9 @@
     for (const IndexedTurn &turn : snapshot.turns) {
         *message.add_turns() = toWire(turn);
     }
+    for (const resumption::StreamOrigin &origin : snapshot.streams) {
+        *message.add_streams() = toRecord(origin);
+    }
     message.set_first_batch(snapshot.firstBatch);
     message.set_indexed_batch(snapshot.indexedBatch);
     return store::sealEnvelope(message.SerializeAsString());
@@ -45,6 +48,9 @@
     for (const wire::StoredTurn &turn : message.turns()) {
         snapshot.turns.push_back(fromWire(snapshot.incarnation, turn));
     }
+    for (const journal::StreamBegun &record : message.streams()) {
+        snapshot.streams.push_back(fromRecord(record));
+    }
     snapshot.firstBatch = message.first_batch();
     snapshot.indexedBatch = message.indexed_batch();
     return snapshot;
--- a/basilhall/gateway/ledger_snapshot.h
+++ b/basilhall/gateway/ledger_snapshot.h
@@ -9,6 +9,7 @@
 #include "basilhall/base/result.h"
 #include "basilhall/gateway/turn_index.h"
 #include "basilhall/journal/batch_codec.h"
+#include "basilhall/resumption/stream_origin.h"
 #include "basilhall/store/object_key.h"
 #include "basilhall/turns/budget_ledger.h"
 
@@ -41,6 +42,8 @@
     journal::BatchNumber firstBatch = 0;
     // The last batch that the index parts include; 0 if there is none.
     journal::BatchNumber indexedBatch = 0;
+    // The streams in the journal that callers may still continue.
+    std::vector<resumption::StreamOrigin> streams{};
 
     auto operator<=>(const LedgerSnapshot &) const = default;
 };
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -9,6 +9,7 @@
 #include "basilhall/gateway/internal/update_codec.h"
 #include "basilhall/gateway/journal_reader.h"
 #include "basilhall/gateway/record_codec.h"
+#include "basilhall/resumption/origin_keepers.h"
 #include "basilhall/transport/server_stream.h"
 #include "basilhall/transport/signal.h"
 #include "basilhall/transport/stream_client.h"
@@ -58,6 +59,8 @@
 constexpr Duration kAdmitTimeout = std::chrono::milliseconds(900);
 // Time limit for a peer to answer from memory; the round trip takes a few milliseconds.
 constexpr Duration kRequestTimeout = std::chrono::milliseconds(400);
+// Time limit for a peer to state where a stream began; it answers from memory.
+constexpr Duration kOriginTimeout = std::chrono::milliseconds(150);
 // Time limit for the writing gateway to make records durable; after it, a gateway writes turns
 // itself. A writer that catches up after an outage needs 200 ms per batch, and a record waits for
 // two and a half batches. A shorter limit would cause records to be written twice and add to its
@@ -687,8 +690,125 @@
         subscriber.wake.notify();
     }
 
+    std::set<HostName> connectedHosts() const
+    {
+        std::set<HostName> hosts;
+        for (const auto &[host, peer] : peers) {
+            if (peer->isConnected) {
+                hosts.insert(host);
+            }
+        }
+        return hosts;
+    }
+
+    std::shared_ptr<Subscriber> subscriberOf(const Incarnation &incarnation) const
+    {
+        const auto found =
+            std::find_if(subscribers.begin(), subscribers.end(), [&](const auto &subscriber) {
+                return subscriber->incarnation == incarnation && !subscriber->isCancelled;
+            });
+        return found == subscribers.end() ? nullptr : *found;
+    }
+
+    void tellOrigin(const resumption::StreamOrigin &origin)
+    {
+        const std::vector<std::shared_ptr<Peer>> writing = writers();
+        const std::shared_ptr<Peer> writer = writing.empty() ? nullptr : writing.front();
+        if (!writer) {
+            keeper.recordStream(origin);
+        }
+        std::set<HostName> told;
+        for (const HostName &host : resumption::originKeepers(origin.attempt, connectedHosts(),
+                                                              resumption::kOriginCopies)) {
+            told.insert(host);
+        }
+        if (writer) {
+            told.insert(writer->member.host);
+        }
+        for (const HostName &host : told) {
+            const std::shared_ptr<Peer> &peer = peers.at(host);
+            const auto subscriber = subscriberOf(peer->member.incarnation);
+            if (!subscriber) {
+                continue;
+            }
+            wire::Update update = newUpdate();
+            *(peer == writer ? update.add_streams_to_write() : update.add_streams()) =
+                toRecord(origin);
+            send(*subscriber, std::make_shared<const std::string>(update.SerializeAsString()));
+        }
+    }
+
+    struct OriginSearch {
+        explicit OriginSearch(const asio::any_io_executor &executor)
+            : changed(executor)
+        {
+        }
+
+        transport::Signal changed;
+        std::size_t unanswered = 0;
+        std::optional<resumption::StreamOrigin> origin;
+    };
+
+    static asio::awaitable<void> askForOrigin(std::shared_ptr<Private> self, Address address,
+                                              CallId attempt, std::shared_ptr<OriginSearch> search)
+    {
+        wire::StreamRequest request;
+        request.set_call_id(attempt.value());
+        const auto message = co_await self->sendRequest(
+            std::move(address), kStreamMethod, request.SerializeAsString(), kOriginTimeout);
+        wire::StreamReply reply;
+        if (message && reply.ParseFromString(*message) && reply.has_stream()) {
+            search->origin = fromRecord(reply.stream());
+        }
+        --search->unanswered;
+        search->changed.notify();
+    }
+
+    static asio::awaitable<std::optional<resumption::StreamOrigin>>
+    findOrigin(std::shared_ptr<Private> self, CallId attempt)
+    {
+        std::set<HostName> candidates = self->connectedHosts();
+        candidates.insert(self->self.host);
+        std::set<HostName> asked;
+        for (const HostName &host :
+             resumption::originKeepers(attempt, candidates, resumption::kOriginsAsked)) {
+            asked.insert(host);
+        }
+        // Holders have read the journals of lost gateways. There is one for each failure domain.
+        for (const auto &[host, peer] : self->peers) {
+            if (peer->isConnected && self->isHolderAmong(peer->member)) {
+                asked.insert(host);
+            }
+        }
+        asked.erase(self->self.host);
+        const auto search = std::make_shared<OriginSearch>(self->executor);
+        search->unanswered = asked.size();
+        for (const HostName &host : asked) {
+            asio::co_spawn(
+                self->executor,
+                askForOrigin(self, self->peers.at(host)->member.address, attempt, search),
+                asio::detached);
+        }
+        while (search->unanswered > 0 && !search->origin) {
+            co_await search->changed.wait();
+        }
+        co_return search->origin;
+    }
+
+    // True if changes of the endpoints arrive here without a long delay.
+    bool isEndpointListLive() const
+    {
+        return isWatchingStore
+            || std::any_of(peers.begin(), peers.end(), [this](const auto &entry) {
+                   return entry.second->watchesStore && isReachable(*entry.second);
+               });
+    }
+
     void flush()
     {
+        if (isEndpointListLive()) {
+            state.noteEndpointsCurrent(now());
+        }
         reportedBatch = keeper.durableBatch();
         wire::Update update = newUpdate();
         addChanges(state, now(), update);
@@ -916,6 +1036,9 @@
             peer->knowsLedger = update.knows_ledger();
             self->noteBatch(*peer, update.durable_batch());
             applyUpdate(update, now(), self->state);
+            for (const journal::StreamBegun &stream : update.streams_to_write()) {
+                self->keeper.recordStream(fromRecord(stream));
+            }
             self->updateMustConfirm();
             if (update.has_policy()) {
                 self->onDocument({DocumentKind::Policy,
@@ -1132,6 +1255,16 @@
     d->announce(turn, {});
 }
 
+void PeerMesh::tellOrigin(const resumption::StreamOrigin &origin)
+{
+    d->tellOrigin(origin);
+}
+
+asio::awaitable<std::optional<resumption::StreamOrigin>> PeerMesh::findOrigin(CallId attempt)
+{
+    return Private::findOrigin(d, std::move(attempt));
+}
+
 void PeerMesh::publish(Document document)
 {
     Document &offered = d->documents[document.kind];
--- a/basilhall/gateway/peer_mesh.h
+++ b/basilhall/gateway/peer_mesh.h
@@ -18,6 +18,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -69,6 +70,12 @@
 
     // Sends a turn to all holders immediately.
     void announce(const journal::TurnKept &turn);
+    // Tells the gateways that a caller may come back to where its stream began, and the one that
+    // writes for this gateway, or adds it to the local journal.
+    void tellOrigin(const resumption::StreamOrigin &origin);
+    // Asks the gateways that were told, and the holders, where a stream began. The number of
+    // requests grows with the failure domains only. nullopt if none knows.
+    boost::asio::awaitable<std::optional<resumption::StreamOrigin>> findOrigin(CallId attempt);
     // Offers a document to the peers, which fetch it if it is newer than theirs. Ignored if this
     // gateway already offers a version that is not older.
     void publish(Document document);
--- /dev/null
+++ b/basilhall/gateway/process_prover.h
@@ -0,0 +1,93 @@
+// Asks endpoints which process runs behind an open connection, so that a version is not taken from
+// a registration whose process has been replaced.
+//
+//     ProcessProver<Dialect> prover(client, log);
+//     const bool isProven = co_await prover.prove(endpoint, stream.connectedAt());
+#pragma once
+
+#include "basilhall/base/monotonic_clock.h"
+#include "basilhall/fleet/endpoint.h"
+#include "basilhall/gateway/call_dialect.h"
+#include "basilhall/gateway/internal/call_log.h"
+#include "basilhall/http/client.h"
+#include "basilhall/resumption/process_proofs.h"
+#include "basilhall/transport/signal.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <map>
+#include <memory>
+#include <utility>
+
+namespace basilhall::gateway
+{
+
+// Not thread-safe. The references must outlive it and its coroutines.
+template<CallDialect Dialect>
+class ProcessProver
+{
+public:
+    ProcessProver(http::Client &client, CallLog &log)
+        : m_client(client)
+        , m_log(log)
+    {
+    }
+
+    // True if the connection is known to lead to the registered process. Always true if the
+    // registration does not state a start, since processes cannot be told apart then.
+    bool isProven(const fleet::Endpoint &endpoint, Instant connectedAt) const
+    {
+        return endpoint.startedAt == 0
+            || m_proofs.contains(endpoint.name, endpoint.startedAt, connectedAt);
+    }
+
+    // The same; asks the endpoint if necessary. Questions to one endpoint are asked one at a time.
+    boost::asio::awaitable<bool> prove(fleet::Endpoint endpoint, Instant connectedAt)
+    {
+        while (!isProven(endpoint, connectedAt)) {
+            const auto pending = m_pending.find(endpoint.name);
+            if (pending == m_pending.end()) {
+                co_await ask(endpoint);
+                co_return isProven(endpoint, connectedAt);
+            }
+            const auto done = pending->second;
+            co_await done->wait();
+        }
+        co_return true;
+    }
+
+private:
+    static constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
+    static constexpr Duration kTimeout = std::chrono::milliseconds(400);
+    // Connections are not kept open without use for that long.
+    static constexpr Duration kRetention = std::chrono::minutes(10);
+
+    boost::asio::awaitable<void> ask(fleet::Endpoint endpoint)
+    {
+        const auto done =
+            std::make_shared<transport::Signal>(co_await boost::asio::this_coro::executor);
+        m_pending.emplace(endpoint.name, done);
+        const Instant askedAt = MonotonicClock().now();
+        m_proofs.expire(askedAt - kRetention);
+        http::RequestOptions options;
+        options.connectTimeout = kConnectTimeout;
+        const auto answer = co_await m_client.send(endpoint.address, Dialect::processRequest(),
+                                                   kTimeout, std::move(options));
+        const auto startedAt = answer ? Dialect::processStart(answer.value()) : std::nullopt;
+        if (startedAt) {
+            m_proofs.add(endpoint.name, *startedAt, askedAt);
+        }
+        if (startedAt != endpoint.startedAt) {
+            m_log.processUnproven(endpoint, startedAt);
+        }
+        m_pending.erase(endpoint.name);
+        done->notify();
+    }
+
+    http::Client &m_client;
+    CallLog &m_log;
+    resumption::ProcessProofs m_proofs;
+    std::map<EndpointName, std::shared_ptr<transport::Signal>> m_pending;
+};
+
+} // namespace basilhall::gateway
--- a/basilhall/gateway/record_codec.cpp
+++ b/basilhall/gateway/record_codec.cpp
@@ -52,4 +52,30 @@
             record.kept_until_wall_ms()};
 }
 
+journal::StreamBegun toRecord(const resumption::StreamOrigin &origin)
+{
+    journal::StreamBegun record;
+    record.set_call_id(origin.attempt.value());
+    record.set_team(origin.team.value());
+    record.set_service(origin.service);
+    record.set_version(origin.version);
+    record.set_endpoint(origin.endpoint.value());
+    record.set_endpoint_started_wall_ms(origin.endpointStartedAt);
+    record.set_sent_wall_ms(origin.sentAt);
+    record.set_kept_until_wall_ms(origin.keptUntil);
+    return record;
+}
+
+resumption::StreamOrigin fromRecord(const journal::StreamBegun &record)
+{
+    return {CallId(record.call_id()),
+            TeamName(record.team()),
+            record.service(),
+            record.version(),
+            EndpointName(record.endpoint()),
+            record.endpoint_started_wall_ms(),
+            record.sent_wall_ms(),
+            record.kept_until_wall_ms()};
+}
+
 } // namespace basilhall::gateway
--- a/basilhall/gateway/record_codec.h
+++ b/basilhall/gateway/record_codec.h
@@ -1,10 +1,11 @@
-// Converts turns and spending reports to and from journal records.
+// Converts turns, spending reports and origins of streams to and from journal records.
 //
 //     journal::TurnKept record = toRecord(turn);
 //     turns::KeptTurn turn = fromRecord(record);
 #pragma once
 
 #include "basilhall/journal/record.pb.h"
+#include "basilhall/resumption/stream_origin.h"
 #include "basilhall/turns/budget_ledger.h"
 #include "basilhall/turns/kept_turn.h"
 
@@ -19,4 +20,7 @@
 journal::TurnKept toRecord(const turns::KeptTurn &turn);
 turns::KeptTurn fromRecord(const journal::TurnKept &record);
 
+journal::StreamBegun toRecord(const resumption::StreamOrigin &origin);
+resumption::StreamOrigin fromRecord(const journal::StreamBegun &record);
+
 } // namespace basilhall::gateway
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -126,6 +126,8 @@
         snapshot.hasTurnIndex = true;
         snapshot.turns = index.unsaved(state.turns(), snapshot.firstBatch);
         snapshot.indexedBatch = index.lastSavedBatch();
+        dropExpiredStreams();
+        snapshot.streams = {recordedStreams.begin(), recordedStreams.end()};
         snapshot.spends = state.budgets().summary();
         std::erase_if(snapshot.spends, [this](const auto &entry) {
             return !recordedPrograms.contains(entry.second.program);
@@ -152,6 +154,14 @@
             });
     }
 
+    void dropExpiredStreams()
+    {
+        const WallMillis wallNow = MonotonicClock().wallMillis();
+        std::erase_if(recordedStreams, [wallNow](const resumption::StreamOrigin &origin) {
+            return origin.keptUntil < wallNow;
+        });
+    }
+
     // Adds the turns of the batch that has just become durable to the index.
     void noteBatch()
     {
@@ -470,6 +480,8 @@
     JournalCleaner localJournal{state.turns()};
     // Turns that are not durable yet.
     std::deque<AppendedTurn> appendedTurns;
+    // Streams in the local journal that callers may still continue.
+    std::deque<resumption::StreamOrigin> recordedStreams;
     // Index of the local journal.
     TurnIndexWriter index;
     // Latest wall-clock time in ms until which a turn of this journal is kept.
@@ -568,6 +580,20 @@
     }
 }
 
+void TurnKeeper::recordStream(const resumption::StreamOrigin &origin)
+{
+    journal::Record record;
+    *record.mutable_stream_begun() = toRecord(origin);
+    const auto ticket = d->append({record});
+    if (!ticket) {
+        d->log.warning("Cannot record where a stream began.", Field("call", origin.attempt),
+                       Field("reason", ticket.error()));
+        return;
+    }
+    d->recordedStreams.push_back(origin);
+    d->advanceWriter();
+}
+
 asio::awaitable<Result<void>> TurnKeeper::keepForPeer(std::vector<journal::Record> records,
                                                       Duration timeout)
 {
@@ -725,6 +751,7 @@
     if (receivesAllTurns && live) {
         d->remove(d->reader.expired(wallNow, *live, kRemovalsPerRound));
     }
+    d->state.origins().expire(wallNow);
     d->state.budgets().expire(Private::now() - kProgramRetention);
     std::erase_if(d->recordedPrograms, [self = d.get()](const ProgramId &program) {
         return !self->state.budgets().knows(program);
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -105,6 +105,8 @@
     void coverSoon(const ProgramId &program);
     // Writes new records of programs whose durable record counts too much; call it periodically.
     void coverOvercounted();
+    // Adds where a stream began to the journal of this gateway, without waiting for it.
+    void recordStream(const resumption::StreamOrigin &origin);
     // Makes the records of a peer durable.
     boost::asio::awaitable<Result<void>> keepForPeer(std::vector<journal::Record> records,
                                                      Duration timeout);
--- a/basilhall/http/client.cpp
+++ b/basilhall/http/client.cpp
@@ -30,6 +30,7 @@
 
     int status() const override { return m_response->status(); }
     const Headers &headers() const override { return m_response->headers(); }
+    Instant connectedAt() const override { return m_response->connection().connectedAt(); }
 
     asio::awaitable<Result<std::optional<std::string>>> read(Duration timeout) override
     {
@@ -165,6 +166,11 @@
 
 Client::~Client() = default;
 
+const asio::any_io_executor &Client::executor() const
+{
+    return d->m_pool->executor();
+}
+
 asio::awaitable<Result<Response>> Client::send(Address server, Request request, Duration timeout,
                                                RequestOptions options)
 {
--- a/basilhall/http/client.h
+++ b/basilhall/http/client.h
@@ -30,6 +30,8 @@
 
     virtual int status() const = 0;
     virtual const Headers &headers() const = 0;
+    // Time at which the connection that the response is read from had been established.
+    virtual Instant connectedAt() const = 0;
     // Returns the next bytes of the body, or nullopt once the body is complete. ConnectionLost if
     // the connection broke before that, DeadlineExceeded if no byte arrived within `timeout`.
     virtual boost::asio::awaitable<Result<std::optional<std::string>>> read(Duration timeout) = 0;
@@ -59,6 +61,8 @@
     Client(const Client &) = delete;
     Client &operator=(const Client &) = delete;
 
+    const boost::asio::any_io_executor &executor() const;
+
     // Sends the request and reads the whole response within `timeout`. An error with notRun()
     // means that no byte of the request was sent. Never retries: a pooled connection that turns
     // out to be closed yields ConnectionLost, with notRun() only if nothing was sent.
--- a/basilhall/http/internal/client_connection.cpp
+++ b/basilhall/http/internal/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "basilhall/http/internal/client_connection.h"
 
+#include "basilhall/base/monotonic_clock.h"
 #include "basilhall/http/internal/socket_options.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -46,6 +47,7 @@
             .withNotRun();
     }
     setSocketOptions(m_socket);
+    m_connectedAt = MonotonicClock().now();
     co_return success();
 }
 
--- a/basilhall/http/internal/client_connection.h
+++ b/basilhall/http/internal/client_connection.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "basilhall/base/address.h"
+#include "basilhall/base/time.h"
 #include "basilhall/http/internal/deadline.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -26,6 +27,8 @@
     boost::asio::ip::tcp::socket &socket() { return m_socket; }
     boost::beast::flat_buffer &buffer() { return m_buffer; }
     Deadline &deadline() { return m_deadline; }
+    // Time at which connect() succeeded.
+    Instant connectedAt() const { return m_connectedAt; }
 
     // Connects within the armed deadline. Every error has notRun().
     boost::asio::awaitable<Result<void>> connect();
@@ -41,6 +44,7 @@
     boost::asio::ip::tcp::socket m_socket;
     Deadline m_deadline;
     boost::beast::flat_buffer m_buffer;
+    Instant m_connectedAt;
     bool m_cancelled = false;
 };
 
--- a/basilhall/metrics/metric.cpp
+++ b/basilhall/metrics/metric.cpp
@@ -26,6 +26,12 @@
     MetricTraits{SuspectsHeld, "basilhall_suspects_held_total", Counter, Entry, "calls", "",
                  "Calls refused because endpoints ended while they ran the same request.",
                  "Find the request by its key in the log: see docs/OPERATIONS.md."},
+    MetricTraits{
+        StreamsNotContinued, "basilhall_resumption_not_continued_total", Counter, Entry, "calls",
+        "",
+        "Calls for the rest of a stream refused because it is unknown which version of the "
+        "endpoints began it.",
+        "Find the reason by the call in the log: see docs/OPERATIONS.md."},
     MetricTraits{CallsRunning, "basilhall_calls_running", Gauge, Entry, "calls", "",
                  "Calls taken up and not answered.",
                  "A steady rise: an endpoint or the object API is slow."},
--- a/basilhall/metrics/metric.h
+++ b/basilhall/metrics/metric.h
@@ -18,6 +18,7 @@
     CallsFinished,
     CallsRefused,
     SuspectsHeld,
+    StreamsNotContinued,
     CallsRunning,
     CallSeconds,
     FirstTokenSeconds,
--- a/basilhall/placement/placement.cpp
+++ b/basilhall/placement/placement.cpp
@@ -176,7 +176,8 @@
     for (std::size_t i = 0; i < names.size(); ++i) {
         const EndpointName &name = names[(i + randomBits) % names.size()];
         const State &state = m_states.at(name);
-        if (!acceptsWork(state, now) || excluded.contains(name)) {
+        if (!acceptsWork(state, now) || excluded.contains(name)
+            || (work.version && *work.version != state.endpoint.version)) {
             continue;
         }
         const bool isLimited = m_limits.limitOf(state.endpoint).has_value();
--- a/basilhall/placement/work.h
+++ b/basilhall/placement/work.h
@@ -8,6 +8,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,8 @@
     std::uint64_t tokens = 0;
     // The request may crash the endpoint, so one with few other requests is preferred.
     bool isSuspect = false;
+    // Only endpoints with this version of their software may run it; any may if nullopt.
+    std::optional<std::string> version{};
 
     auto operator<=>(const Work &) const = default;
 };
--- a/basilhall/program/program_table.cpp
+++ b/basilhall/program/program_table.cpp
@@ -41,6 +41,7 @@
     case journal::Record::kLimitReleased:
     case journal::Record::kTurnKept:
     case journal::Record::kProgramSpend:
+    case journal::Record::kStreamBegun:
         return success();
     case journal::Record::kProgramSnapshot:
         return applySnapshot(record.shard(), record.program_snapshot());
