Coroutines of servers keep what they run on, from before they begin

A coroutine that is spawned as a member function takes its share of its object only when it begins, after the call that spawned it has returned. The same form stood in http::Server (accept, serve), http::Connection (the watch of the caller, which begins while a handler may end the connection), PeerConnection (connect) and the agent's Traffic. They now hold a share from the spawn on.

Two tests, one for each server, failed before: the state was gone while its coroutine was still to begin.

--- a/basilhall/agent/traffic.cpp
+++ b/basilhall/agent/traffic.cpp
@@ -323,12 +323,20 @@
 
 void Traffic::freeSession(const Session &session)
 {
-    asio::co_spawn(d->m_executor, d->freeSession(session), asio::detached);
+    asio::co_spawn(
+        d->m_executor,
+        [self = d, session]() -> asio::awaitable<void> { co_await self->freeSession(session); },
+        asio::detached);
 }
 
 void Traffic::shutDown(std::function<void()> done)
 {
-    asio::co_spawn(d->m_executor, d->shutDown(std::move(done)), asio::detached);
+    asio::co_spawn(
+        d->m_executor,
+        [self = d, done = std::move(done)]() -> asio::awaitable<void> {
+            co_await self->shutDown(done);
+        },
+        asio::detached);
 }
 
 } // namespace basilhall::agent
--- a/basilhall/http/internal/connection.cpp
+++ b/basilhall/http/internal/connection.cpp
@@ -167,7 +167,11 @@
     request.body = std::move(message.body());
 
     m_watching = true;
-    asio::co_spawn(m_socket.get_executor(), watchClient(), asio::detached);
+    // Keeps the connection alive until the coroutine begins.
+    asio::co_spawn(
+        m_socket.get_executor(),
+        [self = shared_from_this()]() -> asio::awaitable<void> { co_await self->watchClient(); },
+        asio::detached);
     auto exchange =
         std::make_shared<ServerExchange>(shared_from_this(), std::move(request), format);
     co_await runHandler(exchange);
--- a/basilhall/http/server.cpp
+++ b/basilhall/http/server.cpp
@@ -57,14 +57,14 @@
     }
     std::size_t activeExchanges() const { return *m_activeExchanges; }
 
-    asio::awaitable<void> accept()
+    // Begins after the call that spawns it has returned; the server may be gone by then.
+    static asio::awaitable<void> accept(std::shared_ptr<Private> self)
     {
-        const auto self = shared_from_this();
-        asio::steady_timer retryTimer(m_acceptor.get_executor());
-        while (m_acceptor.is_open()) {
-            auto [error, socket] = co_await m_acceptor.async_accept(kTuple);
+        asio::steady_timer retryTimer(self->m_acceptor.get_executor());
+        while (self->m_acceptor.is_open()) {
+            auto [error, socket] = co_await self->m_acceptor.async_accept(kTuple);
             if (!error) {
-                admit(std::move(socket));
+                self->admit(std::move(socket));
                 continue;
             }
             retryTimer.expires_after(kAcceptRetryDelay);
@@ -112,14 +112,15 @@
         if (m_draining) {
             connection->drain();
         }
-        asio::co_spawn(m_acceptor.get_executor(), serve(connection), asio::detached);
+        asio::co_spawn(m_acceptor.get_executor(), serve(shared_from_this(), connection),
+                       asio::detached);
     }
 
-    asio::awaitable<void> serve(std::shared_ptr<Connection> connection)
+    static asio::awaitable<void> serve(std::shared_ptr<Private> self,
+                                       std::shared_ptr<Connection> connection)
     {
-        const auto self = shared_from_this();
         co_await connection->run();
-        m_connections.erase(connection);
+        self->m_connections.erase(connection);
     }
 
     tcp::acceptor m_acceptor;
@@ -136,7 +137,7 @@
     : d(std::make_shared<Private>(listenOn(executor, address, reusePort), limits,
                                   std::move(handler)))
 {
-    asio::co_spawn(executor, d->accept(), asio::detached);
+    asio::co_spawn(executor, Private::accept(d), asio::detached);
 }
 
 Server::~Server()
--- a/basilhall/http/server_test.cpp
+++ b/basilhall/http/server_test.cpp
@@ -240,4 +240,19 @@
     });
 }
 
+// Its coroutine begins once the executor runs, and must not use a server that is gone.
+BOOST_AUTO_TEST_CASE(serverMayBeDestroyedBeforeItsExecutorRuns)
+{
+    auto token = std::make_shared<int>(0);
+    const std::weak_ptr<int> state = token;
+    auto destroyed = std::make_unique<http::Server>(
+        context.get_executor(), kAnyPort, http::ServerLimits(),
+        [token](std::shared_ptr<http::Exchange>) -> asio::awaitable<void> { co_return; });
+    token.reset();
+    destroyed.reset();
+    BOOST_TEST(!state.expired());
+    context.poll();
+    BOOST_TEST(state.expired());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/basilhall/transport/internal/peer_connection.cpp
+++ b/basilhall/transport/internal/peer_connection.cpp
@@ -41,7 +41,10 @@
     }
     if (!m_connecting) {
         m_connecting = true;
-        asio::co_spawn(m_executor, connect(), asio::detached);
+        // Keeps the connection alive until the coroutine begins.
+        asio::co_spawn(
+            m_executor, [self]() -> asio::awaitable<void> { co_await self->connect(); },
+            asio::detached);
     }
     const auto waiter = std::make_shared<asio::steady_timer>(m_executor, timeout);
     m_waiters.push_back(waiter);
--- a/basilhall/transport/stream_server.cpp
+++ b/basilhall/transport/stream_server.cpp
@@ -51,14 +51,14 @@
     std::size_t activeStreams() const { return *m_activeStreams; }
     std::size_t connections() const { return m_sessions.size(); }
 
-    asio::awaitable<void> accept()
+    // Begins after the call that spawns it has returned; the server may be gone by then.
+    static asio::awaitable<void> accept(std::shared_ptr<Private> self)
     {
-        const auto self = shared_from_this();
-        asio::steady_timer pause(m_acceptor.get_executor());
-        while (m_acceptor.is_open()) {
-            auto [error, socket] = co_await m_acceptor.async_accept(kTuple);
+        asio::steady_timer pause(self->m_acceptor.get_executor());
+        while (self->m_acceptor.is_open()) {
+            auto [error, socket] = co_await self->m_acceptor.async_accept(kTuple);
             if (!error) {
-                addSession(std::move(socket));
+                self->addSession(std::move(socket));
                 continue;
             }
             pause.expires_after(kAcceptPause);
@@ -116,7 +116,7 @@
                            Handler handler, KeepAlive keepAlive)
     : d(std::make_shared<Private>(listenOn(executor, address), std::move(handler), keepAlive))
 {
-    asio::co_spawn(executor, d->accept(), asio::detached);
+    asio::co_spawn(executor, Private::accept(d), asio::detached);
 }
 
 StreamServer::~StreamServer()
--- a/basilhall/transport/stream_test.cpp
+++ b/basilhall/transport/stream_test.cpp
@@ -300,4 +300,19 @@
     });
 }
 
+// Its coroutine begins once the executor runs, and must not use a server that is gone.
+BOOST_AUTO_TEST_CASE(serverMayBeDestroyedBeforeItsExecutorRuns)
+{
+    auto token = std::make_shared<int>(0);
+    const std::weak_ptr<int> state = token;
+    auto destroyed = std::make_unique<StreamServer>(
+        context.get_executor(), kAnyPort,
+        [token](std::shared_ptr<ServerStream>) -> asio::awaitable<void> { co_return; });
+    token.reset();
+    destroyed.reset();
+    BOOST_TEST(!state.expired());
+    context.poll();
+    BOOST_TEST(state.expired());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
