--- a/basilhall/gateway/call_context.h
+++ b/basilhall/gateway/call_context.h
@@ -36,6 +36,8 @@
     Instant deadline;
     placement::Work work;
     suspects::RequestKey requestKey;
+    // Key of the whole body, if `requestKey` is that of a family.
+    std::optional<suspects::RequestKey> bodyKey;
     // The body of the request to the endpoint.
     std::string body;
 
--- a/basilhall/gateway/fleet_state.cpp
+++ b/basilhall/gateway/fleet_state.cpp
@@ -78,6 +78,7 @@
         if (still == nullptr) {
             m_placement.removeEndpoint(name);
             m_crashes.onRemoved(name, now);
+            m_bodyCrashes.onRemoved(name, now);
         }
     }
     m_versions.begin(now);
@@ -111,6 +112,7 @@
     if (m_directory.find(name) == nullptr) {
         m_placement.removeEndpoint(name);
         m_crashes.onRemoved(name, now);
+        m_bodyCrashes.onRemoved(name, now);
     }
 }
 
@@ -125,6 +127,7 @@
     for (const EndpointName &name : dropped) {
         m_placement.removeEndpoint(name);
         m_crashes.onRemoved(name, now);
+        m_bodyCrashes.onRemoved(name, now);
     }
     m_leaving.expire(m_directory.endpoints(), now);
     m_placement.limits().expire(now);
--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -16,6 +16,7 @@
 #include "basilhall/placement/program_starts.h"
 #include "basilhall/resumption/origin_table.h"
 #include "basilhall/suspects/crash_evidence.h"
+#include "basilhall/suspects/request_families.h"
 #include "basilhall/turns/budget_ledger.h"
 #include "basilhall/turns/turn_table.h"
 
@@ -99,6 +100,9 @@
     placement::ProgramStarts &programStarts() { return m_programStarts; }
     // Requests that may have crashed endpoints.
     suspects::CrashEvidence &crashes() { return m_crashes; }
+    // The same for the single bodies of requests that crashes() knows by their family.
+    suspects::CrashEvidence &bodyCrashes() { return m_bodyCrashes; }
+    suspects::RequestFamilies &families() { return m_families; }
     // Where the streams began that this gateway was told of.
     resumption::OriginTable &origins() { return m_origins; }
     const resumption::OriginTable &origins() const { return m_origins; }
@@ -118,6 +122,8 @@
     placement::Placement m_placement;
     placement::ProgramStarts m_programStarts;
     suspects::CrashEvidence m_crashes;
+    suspects::CrashEvidence m_bodyCrashes;
+    suspects::RequestFamilies m_families;
     resumption::OriginTable m_origins;
     turns::TurnTable m_turns;
     turns::BudgetLedger m_budgets;
--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -96,7 +96,7 @@
         }
         BOOST_OUTCOME_TRY(context.call, Dialect::decodeCall(context.exchange->request()));
         BOOST_OUTCOME_TRY(resolveRoute(context));
-        context.requestKey = keyOf(context);
+        setRequestKeys(context);
         BOOST_OUTCOME_TRY(judgeSuspect(context));
         BOOST_OUTCOME_TRY(admitProgram(context));
         if (context.team != nullptr) {
@@ -155,10 +155,10 @@
     Result<suspects::Treatment> judgeSuspect(const CallContext &context)
     {
         const Instant now = MonotonicClock().now();
-        const suspects::Suspicion suspicion = m_state.crashes().suspicion(context.requestKey);
+        const suspects::Suspicion suspicion = heldAgainst(context, now);
         suspects::Verdict verdict = suspects::judge(suspicion, now);
         if (verdict.treatment == suspects::Treatment::Alone
-            && m_suspectRuns.isRunning(context.requestKey)) {
+            && m_suspectRuns.isRunning(countedKey(context, now))) {
             verdict = {suspects::Treatment::Hold, suspects::kAlonePause};
         }
         if (verdict.treatment == suspects::Treatment::Hold) {
@@ -171,6 +171,25 @@
         return verdict.treatment;
     }
 
+    // The key whose ends count against the request: that of its body, or that of its family.
+    suspects::RequestKey countedKey(const CallContext &context, Instant now) const
+    {
+        const bool countsFamily = m_state.families().isSuspicious(context.requestKey, now);
+        return countsFamily ? context.requestKey : context.bodyKey.value_or(context.requestKey);
+    }
+
+    suspects::Suspicion heldAgainst(const CallContext &context, Instant now) const
+    {
+        const suspects::Suspicion family = m_state.crashes().suspicion(context.requestKey);
+        if (!context.bodyKey) {
+            return family;
+        }
+        const suspects::Suspicion body = m_state.bodyCrashes().suspicion(*context.bodyKey);
+        const bool countsFamily = m_state.families().isSuspicious(context.requestKey, now)
+            && suspects::judge(body, now) < suspects::judge(family, now);
+        return countsFamily ? family : body;
+    }
+
     void watchCaller(const std::shared_ptr<CallContext> &context)
     {
         context->exchange->onClientGone([weak = std::weak_ptr<CallContext>(context)] {
@@ -279,7 +298,7 @@
     placement::Placement::Choice choose(CallContext &context, Instant now,
                                         const placement::Placement::Queueing &queueing)
     {
-        const auto verdict = suspects::judge(m_state.crashes().suspicion(context.requestKey), now);
+        const auto verdict = suspects::judge(heldAgainst(context, now), now);
         context.work.isSuspect = verdict.treatment == suspects::Treatment::Alone;
         std::set<EndpointName> avoided = verdict.treatment == suspects::Treatment::Free
             ? m_suspectRuns.endangered()
@@ -304,9 +323,13 @@
             return;
         }
         const bool isLikely = treatment == suspects::Treatment::Alone;
-        context.suspectRun = m_suspectRuns.enter(context.requestKey, endpoint, isLikely);
+        const Instant now = MonotonicClock().now();
+        context.suspectRun = m_suspectRuns.enter(countedKey(context, now), endpoint, isLikely);
         if (isLikely) {
-            m_state.crashes().onRun(context.requestKey, MonotonicClock().now());
+            m_state.crashes().onRun(context.requestKey, now);
+        }
+        if (isLikely && context.bodyKey) {
+            m_state.bodyCrashes().onRun(*context.bodyKey, now);
         }
     }
 
@@ -318,17 +341,29 @@
         if (context.isCallerGone || m_state.isLeaving(endpoint)) {
             return;
         }
-        suspects::CrashEvidence &crashes = m_state.crashes();
-        crashes.onBroken(context.requestKey, {endpoint.name, endpoint.startedAt},
-                         MonotonicClock().now());
-        m_log.broken(context, endpoint, crashes.suspicion(context.requestKey));
+        const Instant now = MonotonicClock().now();
+        const suspects::EndpointProcess process{endpoint.name, endpoint.startedAt};
+        m_state.crashes().onBroken(context.requestKey, process, now);
+        if (context.bodyKey) {
+            m_state.bodyCrashes().onBroken(*context.bodyKey, process, now);
+            m_state.families().onBroken(context.requestKey, *context.bodyKey, now);
+        }
+        m_log.broken(context, endpoint, heldAgainst(context, now));
     }
 
     void noteCompleteRun(CallContext &context)
     {
         context.suspectRun.reset();
-        if (context.isSignedAnswer
-            && m_state.crashes().onCompleted(context.requestKey, MonotonicClock().now())) {
+        if (!context.isSignedAnswer) {
+            return;
+        }
+        const Instant now = MonotonicClock().now();
+        bool hadEnds = m_state.crashes().onCompleted(context.requestKey, now);
+        if (context.bodyKey) {
+            hadEnds = m_state.bodyCrashes().onCompleted(*context.bodyKey, now) || hadEnds;
+            m_state.families().onCompleted(context.requestKey, now);
+        }
+        if (hadEnds) {
             m_log.sound(context);
         }
     }
@@ -446,8 +481,9 @@
     {
         context.suspectRun.reset();
         if (error.kind() == ErrorKind::Unavailable && error.notRun()) {
-            m_state.crashes().onRefused({endpoint.name, endpoint.startedAt},
-                                        MonotonicClock().now());
+            const Instant now = MonotonicClock().now();
+            m_state.crashes().onRefused({endpoint.name, endpoint.startedAt}, now);
+            m_state.bodyCrashes().onRefused({endpoint.name, endpoint.startedAt}, now);
         } else if (error.kind() == ErrorKind::ConnectionLost && !error.notRun()) {
             noteBrokenRun(context, endpoint);
         }
@@ -456,7 +492,8 @@
     void noteAlive(const CallContext &context, const fleet::Endpoint &endpoint)
     {
         const std::size_t cleared =
-            m_state.crashes().onAnswered({endpoint.name, endpoint.startedAt}, context.sentAt);
+            m_state.crashes().onAnswered({endpoint.name, endpoint.startedAt}, context.sentAt)
+            + m_state.bodyCrashes().onAnswered({endpoint.name, endpoint.startedAt}, context.sentAt);
         if (cleared > 0) {
             m_log.alive(context, endpoint, cleared);
         }
@@ -624,9 +661,9 @@
         if (continuation.isNamed) {
             continuation.origin = co_await m_origins.find(context->call.continues);
         } else {
-            continuation.onlyVersion = m_state.onlyVersion(
-                continuation.service, context->route->timeout + kMaxListDelay,
-                MonotonicClock().now());
+            continuation.onlyVersion =
+                m_state.onlyVersion(continuation.service, context->route->timeout + kMaxListDelay,
+                                    MonotonicClock().now());
         }
         const Result<resumption::StreamVersion> version = resumption::versionFor(continuation);
         if (!version) {
--- a/basilhall/gateway/internal/route_choice.cpp
+++ b/basilhall/gateway/internal/route_choice.cpp
@@ -68,18 +68,22 @@
     return success();
 }
 
-suspects::RequestKey keyOf(const CallContext &context)
+void setRequestKeys(CallContext &context)
 {
     const http::Request &request = context.exchange->request();
-    std::string_view body = request.body;
+    const TeamName team = teamOf(context);
+    const auto key = [&](std::string_view body) {
+        return suspects::requestKey(
+            {team.value(), request.method, context.call.host, request.target, body});
+    };
     // The prompt of a program ends differently each time, as it repeats the answers before.
     if (context.route->kind == fleet::CallKind::Stream && !context.route->keepsTurns
         && !context.call.program.isEmpty()) {
-        body = body.substr(0, kPromptHeadBytes);
+        context.requestKey = key(std::string_view(request.body).substr(0, kPromptHeadBytes));
+        context.bodyKey = key(request.body);
+    } else {
+        context.requestKey = key(request.body);
     }
-    const TeamName team = teamOf(context);
-    return suspects::requestKey(
-        {team.value(), request.method, context.call.host, request.target, body});
 }
 
 Duration overloadRetry(std::uint64_t programHash)
--- a/basilhall/gateway/internal/route_choice.h
+++ b/basilhall/gateway/internal/route_choice.h
@@ -63,8 +63,8 @@
 // Determines the route, team, deadline and work of the call. Errors: NotFound, Unauthenticated,
 // DeadlineExceeded.
 Result<void> resolveRoute(CallContext &context);
-// See suspects::requestKey(). Call it after resolveRoute().
-suspects::RequestKey keyOf(const CallContext &context);
+// Sets the keys of the request; see suspects::requestKey(). Call it after resolveRoute().
+void setRequestKeys(CallContext &context);
 // Returns the time after which a program that was refused because of overload may try again: about
 // the time of a turn, spread so that the refused programs do not return together.
 Duration overloadRetry(std::uint64_t programHash);
--- a/basilhall/gateway/internal/suspect_codec.cpp
+++ b/basilhall/gateway/internal/suspect_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "basilhall/gateway/gateway.pb.h"
 #include "basilhall/suspects/crash_evidence.h"
+#include "basilhall/suspects/request_families.h"
 
 #include <algorithm>
 #include <limits>
@@ -21,9 +22,8 @@
         std::clamp<std::int64_t>(millis, 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
-void add(const suspects::RequestFacts &facts, Instant now, wire::Update &update)
+void add(const suspects::RequestFacts &facts, Instant now, wire::RequestFacts &entry)
 {
-    wire::RequestFacts &entry = *update.add_requests();
     entry.set_request(facts.key.value);
     for (const suspects::EndedRun &run : facts.ends) {
         wire::EndedRun &end = *entry.add_ends();
@@ -65,7 +65,7 @@
 void addCrashChanges(suspects::CrashEvidence &crashes, Instant now, wire::Update &update)
 {
     for (const suspects::RequestFacts &facts : crashes.takeChanges()) {
-        add(facts, now, update);
+        add(facts, now, *update.add_requests());
     }
     for (const suspects::ProcessAnswer &answer : crashes.takeAnswers()) {
         wire::ProcessAnswer &entry = *update.add_answers();
@@ -78,7 +78,7 @@
 void addCrashSummary(const suspects::CrashEvidence &crashes, Instant now, wire::Update &update)
 {
     for (const suspects::RequestFacts &facts : crashes.summary()) {
-        add(facts, now, update);
+        add(facts, now, *update.add_requests());
     }
 }
 
@@ -93,4 +93,34 @@
     }
 }
 
+void addBodies(const std::vector<suspects::RequestFacts> &bodies,
+               const suspects::RequestFamilies &families, Instant now, wire::Update &update)
+{
+    for (const suspects::RequestFacts &facts : bodies) {
+        wire::RequestFacts &entry = *update.add_bodies();
+        add(facts, now, entry);
+        entry.set_family(families.familyOf(facts.key).value_or(suspects::RequestKey()).value);
+    }
+}
+
+void applyBodies(const wire::Update &update, Instant now, suspects::CrashEvidence &bodies,
+                 suspects::RequestFamilies &families)
+{
+    for (const wire::RequestFacts &entry : update.bodies()) {
+        bodies.merge(fromWire(entry, now), now);
+        if (entry.ends_size() > 0 && entry.family() != 0) {
+            families.onBroken({entry.family()}, {entry.request()}, now);
+        }
+    }
+    for (const wire::ProcessAnswer &answer : update.answers()) {
+        bodies.merge({{EndpointName(answer.endpoint()), answer.started_wall_ms()},
+                      now - Millis(answer.sent_age_ms())});
+    }
+    for (const wire::RequestFacts &entry : update.requests()) {
+        if (entry.has_completed_age_ms()) {
+            families.onCompleted({entry.request()}, now - Millis(entry.completed_age_ms()));
+        }
+    }
+}
+
 } // namespace basilhall::gateway
--- a/basilhall/gateway/internal/update_codec.cpp
+++ b/basilhall/gateway/internal/update_codec.cpp
@@ -36,6 +36,7 @@
 void addChanges(FleetState &state, Instant now, wire::Update &update)
 {
     addCrashChanges(state.crashes(), now, update);
+    addBodies(state.bodyCrashes().takeChanges(), state.families(), now, update);
     for (const auto &[endpoint, stated] : state.placement().limits().takeChanges()) {
         addLimit(update, endpoint, stated, now);
     }
@@ -70,6 +71,7 @@
 {
     const Incarnation from(update.incarnation());
     applyCrashes(update, now, state.crashes());
+    applyBodies(update, now, state.bodyCrashes(), state.families());
     for (const journal::TurnKept &turn : update.turns()) {
         state.turns().add(fromRecord(turn));
     }
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -644,6 +644,7 @@
             addLimit(update, endpoint, stated, now());
         }
         addCrashSummary(state.crashes(), now(), update);
+        addBodies(state.bodyCrashes().summary(), state.families(), now(), update);
         return std::make_shared<const std::string>(update.SerializeAsString());
     }
 
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -639,6 +639,8 @@
         co_return made;
     }
     if (self->state.turns().contains(previous) && !self->state.turns().belongsTo(previous, team)) {
+        self->log.info("A turn belongs to another team.", Field("turn", previous),
+                       Field("team", team));
         co_return made;
     }
     const turns::TurnTable &turns = self->state.turns();
