Forwarder gives up suspects and continued streams to classes of their own

Moved as it was, no change of behaviour; all tests but the killed-process and soak ones ran (38 passed).

--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -14,22 +14,17 @@
 #include "basilhall/gateway/internal/buffered_bytes.h"
 #include "basilhall/gateway/internal/call_log.h"
 #include "basilhall/gateway/internal/route_choice.h"
-#include "basilhall/gateway/internal/suspect_runs.h"
-#include "basilhall/gateway/process_prover.h"
 #include "basilhall/gateway/refusal.h"
 #include "basilhall/gateway/send_queue.h"
-#include "basilhall/gateway/stream_origins.h"
+#include "basilhall/gateway/stream_continuer.h"
+#include "basilhall/gateway/suspect_guard.h"
 #include "basilhall/gateway/turn_keeper.h"
 #include "basilhall/http/client.h"
 #include "basilhall/placement/program_admission.h"
-#include "basilhall/resumption/continuation_policy.h"
-#include "basilhall/suspects/suspect_policy.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -54,8 +49,8 @@
         , m_state(state)
         , m_keeper(keeper)
         , m_askHome(std::move(askHome))
-        , m_origins(origins)
-        , m_prover(client, log)
+        , m_suspects(state, log)
+        , m_continuer(client, state, origins, log)
         , m_log(log)
         , m_random(random)
     {
@@ -97,7 +92,7 @@
         BOOST_OUTCOME_TRY(context.call, Dialect::decodeCall(context.exchange->request()));
         BOOST_OUTCOME_TRY(resolveRoute(context));
         setRequestKeys(context);
-        BOOST_OUTCOME_TRY(judgeSuspect(context));
+        BOOST_OUTCOME_TRY(m_suspects.admit(context));
         BOOST_OUTCOME_TRY(admitProgram(context));
         if (context.team != nullptr) {
             BOOST_OUTCOME_TRY(
@@ -151,45 +146,6 @@
             && !m_state.budgets().knows(context.call.program);
     }
 
-    // Refuses a request that is likely to crash the endpoint that runs it.
-    Result<suspects::Treatment> judgeSuspect(const CallContext &context)
-    {
-        const Instant now = MonotonicClock().now();
-        const suspects::Suspicion suspicion = heldAgainst(context, now);
-        suspects::Verdict verdict = suspects::judge(suspicion, now);
-        if (verdict.treatment == suspects::Treatment::Alone
-            && m_suspectRuns.isRunning(countedKey(context, now))) {
-            verdict = {suspects::Treatment::Hold, suspects::kAlonePause};
-        }
-        if (verdict.treatment == suspects::Treatment::Hold) {
-            m_log.held(context, suspicion, verdict.wait);
-            return Error(ErrorKind::Unavailable,
-                         "endpoints ended while they ran this request; it is not run again now")
-                .withNotRun()
-                .withRetryAfter(verdict.wait);
-        }
-        return verdict.treatment;
-    }
-
-    // The key whose ends count against the request: that of its body, or that of its family.
-    suspects::RequestKey countedKey(const CallContext &context, Instant now) const
-    {
-        const bool countsFamily = m_state.families().isSuspicious(context.requestKey, now);
-        return countsFamily ? context.requestKey : context.bodyKey.value_or(context.requestKey);
-    }
-
-    suspects::Suspicion heldAgainst(const CallContext &context, Instant now) const
-    {
-        const suspects::Suspicion family = m_state.crashes().suspicion(context.requestKey);
-        if (!context.bodyKey) {
-            return family;
-        }
-        const suspects::Suspicion body = m_state.bodyCrashes().suspicion(*context.bodyKey);
-        const bool countsFamily = m_state.families().isSuspicious(context.requestKey, now)
-            && suspects::judge(body, now) < suspects::judge(family, now);
-        return countsFamily ? family : body;
-    }
-
     void watchCaller(const std::shared_ptr<CallContext> &context)
     {
         context->exchange->onClientGone([weak = std::weak_ptr<CallContext>(context)] {
@@ -235,11 +191,11 @@
                 co_return finalError(*context, selected.error());
             }
             // Others may have run it while it waited.
-            const Result<suspects::Treatment> treatment = judgeSuspect(*context);
+            const Result<suspects::Treatment> treatment = m_suspects.admit(*context);
             if (!treatment) {
                 co_return finalError(*context, treatment.error());
             }
-            enterSuspect(*context, selected.value().name, treatment.value());
+            m_suspects.enter(*context, selected.value().name, treatment.value());
             const fleet::Endpoint &endpoint = selected.value();
             auto answer = co_await sendTo(context, endpoint);
             if (answer) {
@@ -298,11 +254,9 @@
     placement::Placement::Choice choose(CallContext &context, Instant now,
                                         const placement::Placement::Queueing &queueing)
     {
-        const auto verdict = suspects::judge(heldAgainst(context, now), now);
-        context.work.isSuspect = verdict.treatment == suspects::Treatment::Alone;
-        std::set<EndpointName> avoided = verdict.treatment == suspects::Treatment::Free
-            ? m_suspectRuns.endangered()
-            : m_suspectRuns.endpoints();
+        const suspects::Treatment treatment = m_suspects.treatment(context, now);
+        context.work.isSuspect = treatment == suspects::Treatment::Alone;
+        std::set<EndpointName> avoided = m_suspects.avoided(treatment);
         // Beyond that, the cost of the detour exceeds its use.
         const bool isCrowded = !context.work.isSuspect && avoided.size() > kMaxAvoided;
         if (!avoided.empty() && !isCrowded) {
@@ -316,58 +270,6 @@
         return m_state.placement().choose(context.work, context.tried, m_random(), now, queueing);
     }
 
-    void enterSuspect(CallContext &context, const EndpointName &endpoint,
-                      suspects::Treatment treatment)
-    {
-        if (treatment == suspects::Treatment::Free) {
-            return;
-        }
-        const bool isLikely = treatment == suspects::Treatment::Alone;
-        const Instant now = MonotonicClock().now();
-        context.suspectRun = m_suspectRuns.enter(countedKey(context, now), endpoint, isLikely);
-        if (isLikely) {
-            m_state.crashes().onRun(context.requestKey, now);
-        }
-        if (isLikely && context.bodyKey) {
-            m_state.bodyCrashes().onRun(*context.bodyKey, now);
-        }
-    }
-
-    // The connection broke after the request had been sent and before its answer was complete.
-    void noteBrokenRun(CallContext &context, const fleet::Endpoint &endpoint)
-    {
-        context.suspectRun.reset();
-        // An endpoint that leaves ends by itself.
-        if (context.isCallerGone || m_state.isLeaving(endpoint)) {
-            return;
-        }
-        const Instant now = MonotonicClock().now();
-        const suspects::EndpointProcess process{endpoint.name, endpoint.startedAt};
-        m_state.crashes().onBroken(context.requestKey, process, now);
-        if (context.bodyKey) {
-            m_state.bodyCrashes().onBroken(*context.bodyKey, process, now);
-            m_state.families().onBroken(context.requestKey, *context.bodyKey, now);
-        }
-        m_log.broken(context, endpoint, heldAgainst(context, now));
-    }
-
-    void noteCompleteRun(CallContext &context)
-    {
-        context.suspectRun.reset();
-        if (!context.isSignedAnswer) {
-            return;
-        }
-        const Instant now = MonotonicClock().now();
-        bool hadEnds = m_state.crashes().onCompleted(context.requestKey, now);
-        if (context.bodyKey) {
-            hadEnds = m_state.bodyCrashes().onCompleted(*context.bodyKey, now) || hadEnds;
-            m_state.families().onCompleted(context.requestKey, now);
-        }
-        if (hadEnds) {
-            m_log.sound(context);
-        }
-    }
-
     // A program that begins needs several more requests, and the work of one that is cut off
     // halfway is wasted.
     SendRank sendRank(const CallContext &context) const
@@ -434,7 +336,7 @@
         if (!answer) {
             m_state.placement().onFinished(endpoint.name, context->work);
             noteFailure(*context, endpoint, answer.error());
-            noteConnection(*context, endpoint, answer.error());
+            m_suspects.onError(*context, endpoint, answer.error());
             co_return answer.error();
         }
         const AnswerFacts facts =
@@ -447,7 +349,7 @@
         noteLimit(*context, endpoint, facts);
         context->isSignedAnswer = facts.isSigned && !facts.isMisdirected;
         if (context->isSignedAnswer) {
-            noteAlive(*context, endpoint);
+            m_suspects.onAnswered(*context, endpoint);
         }
         if (facts.isNotRun || facts.isMisdirected) {
             m_state.placement().onFinished(endpoint.name, context->work);
@@ -477,28 +379,6 @@
         co_return answer;
     }
 
-    void noteConnection(CallContext &context, const fleet::Endpoint &endpoint, const Error &error)
-    {
-        context.suspectRun.reset();
-        if (error.kind() == ErrorKind::Unavailable && error.notRun()) {
-            const Instant now = MonotonicClock().now();
-            m_state.crashes().onRefused({endpoint.name, endpoint.startedAt}, now);
-            m_state.bodyCrashes().onRefused({endpoint.name, endpoint.startedAt}, now);
-        } else if (error.kind() == ErrorKind::ConnectionLost && !error.notRun()) {
-            noteBrokenRun(context, endpoint);
-        }
-    }
-
-    void noteAlive(const CallContext &context, const fleet::Endpoint &endpoint)
-    {
-        const std::size_t cleared =
-            m_state.crashes().onAnswered({endpoint.name, endpoint.startedAt}, context.sentAt)
-            + m_state.bodyCrashes().onAnswered({endpoint.name, endpoint.startedAt}, context.sentAt);
-        if (cleared > 0) {
-            m_log.alive(context, endpoint, cleared);
-        }
-    }
-
     void noteLimit(const CallContext &context, const fleet::Endpoint &endpoint,
                    const AnswerFacts &facts)
     {
@@ -566,7 +446,7 @@
             auto response = co_await readResponse(context, *answer.value());
             m_state.placement().onFinished(context->endpoint, context->work);
             if (response) {
-                noteCompleteRun(*context);
+                m_suspects.onCompleted(*context);
                 m_state.placement().onAnswered(context->endpoint, context->sendConditions, {},
                                                MonotonicClock().now());
                 context->hasResponseStarted = true;
@@ -587,7 +467,7 @@
     void noteEndOfRun(CallContext &context)
     {
         if (context.isRunBroken) {
-            noteBrokenRun(context, context.sentTo);
+            m_suspects.onBroken(context, context.sentTo);
         }
         context.suspectRun.reset();
     }
@@ -631,7 +511,7 @@
 
     boost::asio::awaitable<Result<void>> serveStream(std::shared_ptr<CallContext> context)
     {
-        Result<void> ready = co_await prepareContinuation(context);
+        Result<void> ready = co_await m_continuer.prepare(context);
         if (ready) {
             ready = co_await prepareTurn(context);
         }
@@ -651,32 +531,6 @@
         co_return done;
     }
 
-    // Restricts the rest of a stream to the version that began it.
-    boost::asio::awaitable<Result<void>> prepareContinuation(std::shared_ptr<CallContext> context)
-    {
-        if (!context->call.lastEvent) {
-            co_return success();
-        }
-        resumption::Continuation continuation = continuationOf(*context);
-        if (continuation.isNamed) {
-            continuation.origin = co_await m_origins.find(context->call.continues);
-        } else {
-            continuation.onlyVersion =
-                m_state.onlyVersion(continuation.service, context->route->timeout + kMaxListDelay,
-                                    MonotonicClock().now());
-        }
-        const Result<resumption::StreamVersion> version = resumption::versionFor(continuation);
-        if (!version) {
-            m_log.notContinued(*context, version.error());
-            co_return version.error();
-        }
-        context->origin = std::move(continuation.origin);
-        context->work.service = version.value().service;
-        context->work.version = version.value().version;
-        m_log.continues(*context);
-        co_return success();
-    }
-
     // Builds the prompt of a kept turn and reserves its maximum tokens in the budget of the
     // program.
     boost::asio::awaitable<Result<void>> prepareTurn(std::shared_ptr<CallContext> context)
@@ -781,7 +635,7 @@
             answer.value().reset();
             m_state.placement().onFinished(endpoint, context->work);
             if (forwarded) {
-                noteCompleteRun(*context);
+                m_suspects.onCompleted(*context);
                 reportTurn(*context, endpoint);
                 co_return co_await endTurn(context);
             }
@@ -797,68 +651,13 @@
                 || context->runs >= context->route->maxAttempts) {
                 co_return forwarded.error();
             }
-            const bool isKnown = co_await isVersionKnown(context);
+            const bool isKnown = co_await m_continuer.isVersionKnown(context);
             if (!isKnown) {
                 co_return forwarded.error();
             }
         }
     }
 
-    // True unless events were forwarded that a process of unknown version may have sent.
-    boost::asio::awaitable<bool> isVersionKnown(std::shared_ptr<CallContext> context)
-    {
-        if (context->events == 0 || context->isVersionProven) {
-            co_return true;
-        }
-        co_return co_await m_prover.prove(context->sentTo, context->connectedAt);
-    }
-
-    // Records where the stream began, once it is known which process sent its first event.
-    void noteFirstEvent(const std::shared_ptr<CallContext> &context)
-    {
-        if (!context->route->isResumable) {
-            return;
-        }
-        if (context->call.lastEvent) {
-            if (context->origin) {
-                context->origin->keptUntil = continuableUntil(*context);
-                m_origins.add(*context->origin);
-            }
-            return;
-        }
-        context->work.version = context->sentTo.version;
-        if (m_prover.isProven(context->sentTo, context->connectedAt)) {
-            context->isVersionProven = true;
-            recordOrigin(originOf(*context));
-        } else {
-            boost::asio::co_spawn(
-                m_client.executor(),
-                proveOrigin(context, context->sentTo, context->connectedAt, originOf(*context)),
-                boost::asio::detached);
-        }
-    }
-
-    // The endpoint and the connection may be those of an earlier run once the answer arrives.
-    boost::asio::awaitable<void> proveOrigin(std::shared_ptr<CallContext> context,
-                                             fleet::Endpoint endpoint, Instant connectedAt,
-                                             resumption::StreamOrigin origin)
-    {
-        const bool isProven = co_await m_prover.prove(endpoint, connectedAt);
-        if (isProven) {
-            context->isVersionProven = true;
-            recordOrigin(origin);
-        } else {
-            m_log.originUnproven(*context, endpoint);
-        }
-    }
-
-    void recordOrigin(const resumption::StreamOrigin &origin)
-    {
-        if (!origin.attempt.isEmpty()) {
-            m_origins.add(origin);
-        }
-    }
-
     // Reports the timing of a complete turn. A turn that went on at another endpoint says nothing
     // about the time to the first event of the last one.
     void reportTurn(const CallContext &context, const EndpointName &endpoint)
@@ -880,14 +679,9 @@
         if (stream.status() != kOk) {
             co_return co_await forwardFailure(context, stream);
         }
-        if (context->lastEvent) {
-            const bool isProven = co_await m_prover.prove(context->sentTo, context->connectedAt);
-            if (!isProven) {
-                co_return Error(ErrorKind::EndpointFailed,
-                                "endpoint \"" + context->sentTo.name.value()
-                                    + "\" may have been replaced by another version");
-            }
-            context->isVersionProven = true;
+        const Result<void> checked = co_await m_continuer.checkProcess(context);
+        if (!checked) {
+            co_return checked.error();
         }
         EventSplitter splitter;
         context->cancelRead = [&stream] { stream.cancel(); };
@@ -953,7 +747,7 @@
             }
             text += event->text;
             if (context->events++ == 0) {
-                noteFirstEvent(context);
+                m_continuer.onFirstEvent(context);
             }
             if (event->id) {
                 context->lastEvent = event->id;
@@ -1023,12 +817,11 @@
     FleetState &m_state;
     TurnKeeper &m_keeper;
     AskHome m_askHome;
-    StreamOrigins &m_origins;
-    ProcessProver<Dialect> m_prover;
+    SuspectGuard m_suspects;
+    StreamContinuer<Dialect> m_continuer;
     CallLog &m_log;
     std::mt19937_64 &m_random;
     SendQueue m_sendQueue;
-    SuspectRuns m_suspectRuns;
     std::size_t m_bufferedBytes = 0;
 };
 
