Records: a waiting record costs the same however many wait

Cause: awaitDurable and keepForPeer shared one signal. Ruled out as its cause: the store (no call failed).

Change: each wait has its own timer and is woken when its own ticket is durable (DurabilityWaits). A store call that fails wakes only the records that may still be relayed.

--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -2,6 +2,7 @@
 
 #include "basilhall/base/monotonic_clock.h"
 #include "basilhall/gateway/internal/call_failures.h"
+#include "basilhall/gateway/internal/durability_waits.h"
 #include "basilhall/gateway/internal/kept_time.h"
 #include "basilhall/gateway/internal/turn_index_writer.h"
 #include "basilhall/gateway/journal_cleaner.h"
@@ -12,7 +13,6 @@
 #include "basilhall/journal/batch_codec.h"
 #include "basilhall/journal/writer.h"
 #include "basilhall/metrics/registry.h"
-#include "basilhall/transport/signal.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -81,7 +81,8 @@
         , writer(s.self(), ids, {.flushInterval = kFlushInterval})
         , ledger(access, {kLedgerKind, s.self().value()})
         , index(s.self())
-        , durabilityChanged(e)
+        , relayableWaits(e)
+        , waits(e)
         , writerTimer(e)
         , coverTimer(e)
     {
@@ -228,10 +229,22 @@
         if (writer.durableNumber() > before) {
             noteBatch();
         }
-        durabilityChanged.notify();
+        wakeWaits(isFailure);
         advanceWriter();
     }
 
+    void wakeWaits(bool isFailure)
+    {
+        relayableWaits.onDurable(writer.durableTicket());
+        waits.onDurable(writer.durableTicket());
+        if (isFailure || writer.isSealed()) {
+            relayableWaits.wakeAll();
+        }
+        if (writer.isSealed()) {
+            waits.wakeAll();
+        }
+    }
+
     void noteStoreResult(bool isAvailable, const std::optional<Error> &error)
     {
         if (isAvailable) {
@@ -287,7 +300,6 @@
         const Instant deadline = now() + timeout;
         const Instant relayAt = now() + kRelayAfter;
         bool isRelayed = !self->relay;
-        asio::steady_timer alarm(self->executor);
         while (self->writer.durableTicket() < ticket) {
             const Instant time = now();
             if (time >= deadline || self->writer.isSealed()) {
@@ -304,13 +316,11 @@
                 self->relayFailedAt = now();
                 continue;
             }
-            alarm.expires_after((isRelayed ? deadline : relayAt) - time);
-            alarm.async_wait([self](boost::system::error_code error) {
-                if (!error) {
-                    self->durabilityChanged.notify();
-                }
-            });
-            co_await self->durabilityChanged.wait();
+            if (isRelayed) {
+                co_await self->waits.wait(ticket, deadline - time);
+            } else {
+                co_await self->relayableWaits.wait(ticket, std::min(relayAt, deadline) - time);
+            }
         }
         co_return success();
     }
@@ -486,7 +496,10 @@
     TurnIndexWriter index;
     // Latest wall-clock time in ms until which a turn of this journal is kept.
     WallMillis lastKeptUntil = 0;
-    transport::Signal durabilityChanged;
+    // Waits for records of this gateway that may still be relayed.
+    DurabilityWaits relayableWaits;
+    // All other waits.
+    DurabilityWaits waits;
     asio::steady_timer writerTimer;
     CallFailures storeFailures;
     Relay relay;
@@ -613,19 +626,11 @@
         co_return ticket.error();
     }
     self->advanceWriter();
-    const Instant deadline = Private::now() + timeout;
-    asio::steady_timer alarm(self->executor);
-    alarm.expires_after(timeout);
-    alarm.async_wait([self](boost::system::error_code error) {
-        if (!error) {
-            self->durabilityChanged.notify();
-        }
-    });
-    while (self->writer.durableTicket() < ticket.value()) {
-        if (Private::now() >= deadline || self->writer.isSealed()) {
-            co_return Error(ErrorKind::StoreUnavailable, "the records are not durable yet");
-        }
-        co_await self->durabilityChanged.wait();
+    if (self->writer.durableTicket() < ticket.value() && !self->writer.isSealed()) {
+        co_await self->waits.wait(ticket.value(), timeout);
+    }
+    if (self->writer.durableTicket() < ticket.value()) {
+        co_return Error(ErrorKind::StoreUnavailable, "the records are not durable yet");
     }
     co_return success();
 }
