Records: relayed only if the object API does not answer, not because the host is late

Cause: a record was sent to up to three peers once it had waited for 150 ms by the clock of this host. A record waits for the flush interval, the batch before its own and its own batch, and on a host without processor time for its own event loop; each relay makes a peer write the record again.

Change: AnswerWatch watches the call under way. A call counts as not answered after 150 ms in which the event loop was on time; then, or when a call fails, records that have waited as long are relayed, as before. The host logs it. The ledger that precedes the first batch is watched as well and no longer encoded again while its write is under way.

Records are still relayed, once each, if the store does not answer.

--- a/basilhall/gateway/snapshot_writer.cpp
+++ b/basilhall/gateway/snapshot_writer.cpp
@@ -79,4 +79,9 @@
     return true;
 }
 
+bool SnapshotWriter::isWriting() const
+{
+    return d->done != nullptr;
+}
+
 } // namespace basilhall::gateway
--- a/basilhall/gateway/snapshot_writer.h
+++ b/basilhall/gateway/snapshot_writer.h
@@ -26,6 +26,7 @@
     // Starts a write. Returns false without calling `done` if another write is in progress. `done`
     // receives true if the content is durable; after false it may still be or become durable.
     bool write(std::string data, std::function<void(bool)> done);
+    bool isWriting() const;
 
 private:
     class Private;
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -1,6 +1,7 @@
 #include "basilhall/gateway/turn_keeper.h"
 
 #include "basilhall/base/monotonic_clock.h"
+#include "basilhall/gateway/internal/answer_watch.h"
 #include "basilhall/gateway/internal/call_failures.h"
 #include "basilhall/gateway/internal/durability_waits.h"
 #include "basilhall/gateway/internal/kept_time.h"
@@ -33,8 +34,8 @@
 {
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
-// Time that a record may wait for the object API before a peer is asked to write it. A normal
-// answer takes 4 ms.
+// Time without an answer of the object API after which peers are asked to write records that have
+// waited as long. A normal answer takes 4 ms.
 constexpr Duration kRelayAfter = std::chrono::milliseconds(150);
 // New turns are refused immediately once writes have failed for this time.
 constexpr Duration kWriteFailureThreshold = std::chrono::milliseconds(600);
@@ -83,6 +84,7 @@
         , index(s.self())
         , relayableWaits(e)
         , waits(e)
+        , answers(e, kRelayAfter, [this] { onSilent(); })
         , writerTimer(e)
         , coverTimer(e)
     {
@@ -106,6 +108,7 @@
         }
         for (store::Operation &operation : writer.advance(now())) {
             batches.add();
+            answers.onSent();
             access(std::move(operation.request),
                    [self = shared_from_this(), id = operation.id](const store::Outcome &outcome) {
                        self->onOutcome(id, outcome);
@@ -118,7 +121,8 @@
 
     void saveLedger()
     {
-        if (hasDurableLedger && writer.durableNumber() == ledgerBatch) {
+        const bool isCurrent = hasDurableLedger && writer.durableNumber() == ledgerBatch;
+        if (isCurrent || ledger.isWriting()) {
             return;
         }
         LedgerSnapshot snapshot{state.self(), writer.durableNumber(), {}, host};
@@ -133,6 +137,9 @@
         std::erase_if(snapshot.spends, [this](const auto &entry) {
             return !recordedPrograms.contains(entry.second.program);
         });
+        if (!hasDurableLedger) {
+            answers.onSent();
+        }
         ledger.write(
             encodeLedger(snapshot),
             [weak = weak_from_this(), batch = snapshot.batch](bool isDurable) {
@@ -140,6 +147,9 @@
                 if (!self) {
                     return;
                 }
+                if (!self->hasDurableLedger) {
+                    self->answers.onAnswered();
+                }
                 if (isDurable) {
                     self->ledgerBatch = batch;
                     self->hasDurableLedger = true;
@@ -220,8 +230,16 @@
         }
     }
 
+    void onSilent()
+    {
+        log.warning("Object API does not answer a write.",
+                    Field("pending_bytes", writer.pendingBytes()));
+        relayableWaits.wakeAll();
+    }
+
     void onOutcome(store::OperationId id, const store::Outcome &outcome)
     {
+        answers.onAnswered();
         const bool isFailure = !outcome && outcome.error().kind() == ErrorKind::StoreUnavailable;
         noteStoreResult(!isFailure, outcome ? std::nullopt : std::optional(outcome.error()));
         const journal::BatchNumber before = writer.durableNumber();
@@ -229,18 +247,16 @@
         if (writer.durableNumber() > before) {
             noteBatch();
         }
-        wakeWaits(isFailure);
+        wakeWaits();
         advanceWriter();
     }
 
-    void wakeWaits(bool isFailure)
+    void wakeWaits()
     {
         relayableWaits.onDurable(writer.durableTicket());
         waits.onDurable(writer.durableTicket());
-        if (isFailure || writer.isSealed()) {
-            relayableWaits.wakeAll();
-        }
         if (writer.isSealed()) {
+            relayableWaits.wakeAll();
             waits.wakeAll();
         }
     }
@@ -259,6 +275,7 @@
                 log.warning("Object API does not accept records.", Field("reason", *error));
             }
             storeFailures.onFailed(now());
+            relayableWaits.wakeAll();
         }
     }
 
@@ -306,7 +323,8 @@
                 co_return Error(ErrorKind::StoreUnavailable, "the record is not durable yet")
                     .withRetryAfter(kNotDurableRetry);
             }
-            if (!isRelayed && (time >= relayAt || self->storeFailures.since())) {
+            const bool isSilent = self->answers.isSilent();
+            if (!isRelayed && (self->storeFailures.since() || (isSilent && time >= relayAt))) {
                 isRelayed = true;
                 const auto relay = self->relay;
                 if (co_await relay(records)) {
@@ -319,7 +337,8 @@
             if (isRelayed) {
                 co_await self->waits.wait(ticket, deadline - time);
             } else {
-                co_await self->relayableWaits.wait(ticket, std::min(relayAt, deadline) - time);
+                const Instant until = isSilent ? std::min(relayAt, deadline) : deadline;
+                co_await self->relayableWaits.wait(ticket, until - time);
             }
         }
         co_return success();
@@ -500,6 +519,9 @@
     DurabilityWaits relayableWaits;
     // All other waits.
     DurabilityWaits waits;
+    // Watches the writes of this gateway, so that records are relayed only if the object API does
+    // not answer, and not because this host is late.
+    AnswerWatch answers;
     asio::steady_timer writerTimer;
     CallFailures storeFailures;
     Relay relay;
