Peers: an update costs the same however many members there are

Cause, one of several: for each update of each of 90 peers, three times a second, a gateway compared all members to find the holders (isPartedFromHolders) and looked through all peers for newer documents (choosePeer).

HolderRanking ranks the members once, when they change; DocumentExchange keeps the few peers that state a newer version. Ruled out: longer intervals of updates, which the limits of teams depend on.

--- a/basilhall/gateway/document_exchange.cpp
+++ b/basilhall/gateway/document_exchange.cpp
@@ -41,12 +41,9 @@
         return;
     }
     m_local[kind] = version;
-    for (auto &[host, peer] : m_peers) {
-        const auto known = peer.versions.find(kind);
-        if (known != peer.versions.end() && known->second <= version) {
-            peer.newerSince.erase(kind);
-        }
-    }
+    std::erase_if(m_newer[kind], [&](const auto &entry) {
+        return m_peers.at(entry.first).versions.at(kind) <= version;
+    });
 }
 
 void DocumentExchange::onPeerVersions(const HostName &peer, const FailureDomain &domain,
@@ -55,11 +52,16 @@
     Peer &entry = m_peers[peer];
     entry.domain = domain;
     entry.versions = versions;
+    for (auto &[kind, newer] : m_newer) {
+        if (!versions.contains(kind)) {
+            newer.erase(peer);
+        }
+    }
     for (const auto &[kind, version] : versions) {
         if (isNewer(kind, version)) {
-            entry.newerSince.try_emplace(kind, now);
+            m_newer[kind].try_emplace(peer, now);
         } else {
-            entry.newerSince.erase(kind);
+            m_newer[kind].erase(peer);
         }
     }
 }
@@ -67,6 +69,9 @@
 void DocumentExchange::onPeerLost(const HostName &peer)
 {
     m_peers.erase(peer);
+    for (auto &[kind, newer] : m_newer) {
+        newer.erase(peer);
+    }
 }
 
 Duration DocumentExchange::delay(DocumentKind kind, const Peer &peer, bool isWatching) const
@@ -83,12 +88,15 @@
 std::optional<HostName> DocumentExchange::choosePeer(DocumentKind kind, bool isWatching,
                                                      std::uint64_t random, Instant now) const
 {
+    const auto newer = m_newer.find(kind);
+    if (newer == m_newer.end() || newer->second.empty()) {
+        return std::nullopt;
+    }
     std::vector<HostName> local;
     std::vector<HostName> remote;
-    for (const auto &[host, peer] : m_peers) {
-        const auto since = peer.newerSince.find(kind);
-        if (since != peer.newerSince.end() && now >= peer.avoidedUntil
-            && now - since->second >= delay(kind, peer, isWatching)) {
+    for (const auto &[host, since] : newer->second) {
+        const Peer &peer = m_peers.at(host);
+        if (now >= peer.avoidedUntil && now - since >= delay(kind, peer, isWatching)) {
             (peer.domain == m_domain ? local : remote).push_back(host);
         }
     }
--- a/basilhall/gateway/document_exchange.h
+++ b/basilhall/gateway/document_exchange.h
@@ -60,8 +60,6 @@
     struct Peer {
         FailureDomain domain;
         DocumentVersions versions;
-        // Since when each kind has been newer than that of this gateway.
-        std::map<DocumentKind, Instant> newerSince;
         Instant avoidedUntil = Instant::min();
     };
 
@@ -73,6 +71,9 @@
     FailureDomain m_domain;
     DocumentVersions m_local;
     std::map<HostName, Peer> m_peers;
+    // The peers whose version is newer than that of this gateway, and since when. Mostly empty, so
+    // that dueFetches() costs the same however many peers there are.
+    std::map<DocumentKind, std::map<HostName, Instant>> m_newer;
     std::set<DocumentKind> m_fetching;
 };
 
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -3,6 +3,7 @@
 #include "basilhall/base/monotonic_clock.h"
 #include "basilhall/gateway/document_exchange.h"
 #include "basilhall/gateway/gateway.pb.h"
+#include "basilhall/gateway/internal/holder_ranking.h"
 #include "basilhall/gateway/internal/peer_requests.h"
 #include "basilhall/gateway/internal/suspect_codec.h"
 #include "basilhall/gateway/internal/turn_finder.h"
@@ -176,6 +177,7 @@
     // Call once it is owned by a shared_ptr.
     void listen()
     {
+        rankMembers();
         finder.emplace(executor, self.incarnation, turnSources(), log);
         server = std::make_unique<transport::StreamServer>(
             executor, self.address,
@@ -338,7 +340,7 @@
 
     bool precedesInDomain(const Member &member) const
     {
-        return member.failureDomain == self.failureDomain && outranks(member, self);
+        return member.failureDomain == self.failureDomain && HolderRanking::outranks(member, self);
     }
 
     // True if other holders may run, but none is connected: they may have become the homes of the
@@ -413,18 +415,15 @@
         }
     }
 
-    bool isHolderAmong(const Member &member) const
+    bool isHolderAmong(const Member &member) const { return ranking.isHolder(member); }
+
+    void rankMembers()
     {
-        const auto outranksMember = [&member](const Member &other) {
-            return other.failureDomain == member.failureDomain && other.host != member.host
-                && outranks(other, member);
-        };
-        if (outranksMember(self)) {
-            return false;
+        std::vector<const Member *> members{&self};
+        for (const auto &[host, peer] : peers) {
+            members.push_back(&peer->member);
         }
-        return std::none_of(peers.begin(), peers.end(), [&outranksMember](const auto &entry) {
-            return outranksMember(entry.second->member);
-        });
+        ranking.setMembers(members);
     }
 
     // Returns the incarnations of all members, including this one.
@@ -1084,18 +1083,11 @@
             found.push_back(nullptr);
         }
         std::sort(found.begin(), found.end(), [this](const auto &a, const auto &b) {
-            return outranks(a ? a->member : self, b ? b->member : self);
+            return HolderRanking::outranks(a ? a->member : self, b ? b->member : self);
         });
         return found;
     }
 
-    // True if `a` is preferred to `b` as holder and writer: a higher CPU limit, then the host name.
-    static bool outranks(const Member &a, const Member &b)
-    {
-        return a.processorMillis != b.processorMillis ? a.processorMillis > b.processorMillis
-                                                      : a.host < b.host;
-    }
-
     asio::any_io_executor executor;
     Member self;
     FleetState &state;
@@ -1108,6 +1100,7 @@
     std::optional<TurnFinder> finder;
     std::unique_ptr<transport::StreamServer> server;
     std::map<HostName, std::shared_ptr<Peer>> peers;
+    HolderRanking ranking;
     std::unordered_set<std::shared_ptr<Subscriber>> subscribers;
     std::map<DocumentKind, Document> documents;
     std::map<DocumentKind, Instant> madeAt;
@@ -1167,6 +1160,7 @@
         }
     }
     d->peers = std::move(kept);
+    d->rankMembers();
     d->shareEndpointLimits();
     d->updateMustConfirm();
 }
