Membership: a gateway that reaches few others does not remove registrations

Cause: the silence of a peer was judged by the clock of one gateway, which took itself for the first in rank because it reached nobody. Class: a slow host blames others. Now a gateway that reaches fewer than half of the others leaves the removal to them for five takeovers (10 s), and a process that is subscribed here is not removed. Both tests fail without the change.

--- a/basilhall/gateway/membership.cpp
+++ b/basilhall/gateway/membership.cpp
@@ -22,6 +22,10 @@
 constexpr Duration kRegistrationDelay = std::chrono::seconds(3);
 // Ranks from this one on remove registrations at the same time.
 constexpr Duration::rep kMaxTakeovers = 3;
+// A gateway that reaches fewer than half of the others is more likely cut off, or has too little
+// processor time, than that all these have ended: it leaves removals to the others for this many
+// takeovers.
+constexpr Duration::rep kIsolatedTakeovers = 5;
 
 } // namespace
 
@@ -295,10 +299,14 @@
 void Membership::removeSilentMembers(Duration silence)
 {
     const auto before = static_cast<Duration::rep>(d->mesh.reachableBefore());
-    const Duration takeover = kTakeoverDelay * std::min(before, kMaxTakeovers);
+    const bool isIsolated = 2 * d->mesh.reachableCount() < d->mesh.memberCount();
+    const Duration takeover =
+        kTakeoverDelay * (isIsolated ? kIsolatedTakeovers : std::min(before, kMaxTakeovers));
     for (const Member &member : d->mesh.silentMembers(silence + takeover)) {
         const auto found = d->registered.find(member.host);
+        // A process that is subscribed here runs, though its updates do not arrive.
         if (found == d->registered.end() || found->second.incarnation != member.incarnation
+            || d->mesh.hasSubscriber(member.incarnation)
             || !d->pendingRemovals.insert(member.host).second) {
             continue;
         }
--- a/basilhall/gateway/membership.h
+++ b/basilhall/gateway/membership.h
@@ -54,8 +54,8 @@
     // not removed.
     static constexpr Duration kTakeoverDelay = std::chrono::seconds(2);
 
-    // Removes the registrations of processes that have sent no updates for `silence`. One gateway
-    // does so for all that it is connected to.
+    // Removes the registrations of processes that have sent no updates for `silence` and are not
+    // subscribed here. One gateway does so for all that it is connected to.
     void removeSilentMembers(Duration silence = kSilenceLimit);
 
 private:
--- a/basilhall/gateway/membership_test.cpp
+++ b/basilhall/gateway/membership_test.cpp
@@ -1,6 +1,9 @@
 #include "basilhall/gateway/membership.h"
 
+#include "basilhall/gateway/gateway.pb.h"
 #include "basilhall/gateway/testing/mesh_fixture.h"
+#include "basilhall/transport/client_stream.h"
+#include "basilhall/transport/stream_client.h"
 
 using namespace basilhall;
 using namespace basilhall::gateway;
@@ -102,6 +105,43 @@
     BOOST_TEST(!isRegistered(kGone));
 }
 
+// One gateway without processor time removed holders that all others were connected to.
+BOOST_AUTO_TEST_CASE(gatewayThatReachesFewOthersDoesNotRemoveRegistrations)
+{
+    weak->mesh.setMembers({});
+    std::vector<Member> listed{weak->mesh.member(), kGone};
+    for (int i = 0; i < 3; ++i) {
+        Member silent = kGone;
+        silent.host = HostName("silent-" + std::to_string(i));
+        silent.incarnation = Incarnation("silent-" + std::to_string(i));
+        listed.push_back(silent);
+    }
+    Membership &cut = *memberships.back();
+    cut.setAll(listed);
+    wait(kSilence * 2);
+    cut.removeSilentMembers(kSilence);
+    BOOST_TEST(isRegistered(kGone));
+}
+
+BOOST_AUTO_TEST_CASE(gatewayThatIsSubscribedIsNotRemovedThoughItsUpdatesDoNotArrive)
+{
+    transport::StreamClient client(context.get_executor());
+    wire::Subscribe request;
+    *request.mutable_member() = toWire(kGone);
+    std::unique_ptr<transport::ClientStream> subscription;
+    runCoroutine(context, [&]() -> asio::awaitable<void> {
+        auto stream = co_await client.open(strong->mesh.member().address, "/updates",
+                                           request.SerializeAsString(), 1s);
+        BOOST_TEST_REQUIRE(stream.has_value());
+        subscription = std::move(stream).value();
+        (void)co_await subscription->next();
+    });
+    BOOST_TEST_REQUIRE(strong->mesh.hasSubscriber(kGone.incarnation));
+    memberships.front()->removeSilentMembers(kSilence);
+    BOOST_TEST(isRegistered(kGone));
+    client.close();
+}
+
 // The registration was replaced before the removal took effect.
 BOOST_AUTO_TEST_CASE(lateRemovalDoesNotHitTheProcessThatHasReplacedTheSilentOne)
 {
