--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -133,10 +133,7 @@
         snapshot.indexedBatch = index.lastSavedBatch();
         dropExpiredStreams();
         snapshot.streams = {recordedStreams.begin(), recordedStreams.end()};
-        snapshot.spends = state.budgets().summary();
-        std::erase_if(snapshot.spends, [this](const auto &entry) {
-            return !recordedPrograms.contains(entry.second.program);
-        });
+        snapshot.spends = state.budgets().summary(recordedPrograms);
         if (!hasDurableLedger) {
             answers.onSent();
         }
--- a/basilhall/turns/budget_ledger.cpp
+++ b/basilhall/turns/budget_ledger.cpp
@@ -316,28 +316,47 @@
     return reports;
 }
 
+void BudgetLedger::addSummary(const ProgramId &program, Account &entry,
+                              std::vector<std::pair<Incarnation, SpendReport>> &reports)
+{
+    SpendReport sum{program, entry.team};
+    sum.total = total(entry);
+    if (entry.home == m_self) {
+        sum.totalNumber = entry.changeNumber;
+        sum.added = added(entry);
+        entry.statedTotals[sum.totalNumber] = sum.total;
+    }
+    for (const auto &[incarnation, share] : entry.shares) {
+        if (incarnation != m_self) {
+            sum.total = std::max(sum.total, share.totalAsHome);
+        }
+        if (incarnation == entry.home && incarnation != m_self) {
+            sum.totalNumber = share.totalNumber;
+            sum.added = share.addedAsHome;
+        }
+    }
+    if (sum.total > 0) {
+        reports.emplace_back(entry.home.isEmpty() ? m_self : entry.home, std::move(sum));
+    }
+}
+
 std::vector<std::pair<Incarnation, SpendReport>> BudgetLedger::summary()
 {
     std::vector<std::pair<Incarnation, SpendReport>> reports;
     for (auto &[program, entry] : m_programs) {
-        SpendReport sum{program, entry.team};
-        sum.total = total(entry);
-        if (entry.home == m_self) {
-            sum.totalNumber = entry.changeNumber;
-            sum.added = added(entry);
-            entry.statedTotals[sum.totalNumber] = sum.total;
-        }
-        for (const auto &[incarnation, share] : entry.shares) {
-            if (incarnation != m_self) {
-                sum.total = std::max(sum.total, share.totalAsHome);
-            }
-            if (incarnation == entry.home && incarnation != m_self) {
-                sum.totalNumber = share.totalNumber;
-                sum.added = share.addedAsHome;
-            }
-        }
-        if (sum.total > 0) {
-            reports.emplace_back(entry.home.isEmpty() ? m_self : entry.home, std::move(sum));
+        addSummary(program, entry, reports);
+    }
+    return reports;
+}
+
+std::vector<std::pair<Incarnation, SpendReport>>
+BudgetLedger::summary(const std::set<ProgramId> &programs)
+{
+    std::vector<std::pair<Incarnation, SpendReport>> reports;
+    for (const ProgramId &program : programs) {
+        const auto known = m_programs.find(program);
+        if (known != m_programs.end()) {
+            addSummary(program, known->second, reports);
         }
     }
     return reports;
--- a/basilhall/turns/budget_ledger.h
+++ b/basilhall/turns/budget_ledger.h
@@ -125,6 +125,8 @@
     // have delivered. One entry per program regardless of the number of gateways; a successor
     // passes them to onJournalReport().
     std::vector<std::pair<Incarnation, SpendReport>> summary();
+    // The same for these programs only, in time that does not depend on the others.
+    std::vector<std::pair<Incarnation, SpendReport>> summary(const std::set<ProgramId> &programs);
 
     // Applies a report of another incarnation that was read from a journal. An incarnation that has
     // not reported itself counts as lost.
@@ -197,6 +199,8 @@
     Account &account(const ProgramId &program, Instant now);
     void noteChange(const ProgramId &program, Account &account);
     bool isOrphan(const Account &account) const;
+    void addSummary(const ProgramId &program, Account &entry,
+                    std::vector<std::pair<Incarnation, SpendReport>> &reports);
     static std::uint64_t total(const Account &account);
     static std::uint64_t added(const Account &account);
     // The total that a successor finds at least, whichever records become durable and whichever
--- a/basilhall/turns/budget_ledger_test.cpp
+++ b/basilhall/turns/budget_ledger_test.cpp
@@ -251,6 +251,22 @@
     BOOST_TEST(successor.spent(kProgram) == 400U);
 }
 
+// A total that is not written anywhere cannot be used by a successor, so it limits nothing.
+BOOST_AUTO_TEST_CASE(summaryOfSomeProgramsLeavesTheOthersOut)
+{
+    const ProgramId other("other");
+    ledger.claim(kProgram, kNow);
+    ledger.claim(other, kNow);
+    for (const ProgramId &program : {kProgram, other}) {
+        ledger.onPeerReport(kPeer, {program, kTeam, 10, 10}, kNow);
+    }
+    BOOST_TEST(ledger.summary().size() == 2U);
+    const auto summary = ledger.summary({other, ProgramId("unknown")});
+    BOOST_TEST_REQUIRE(summary.size() == 1U);
+    BOOST_TEST((summary[0].second.program == other));
+    BOOST_TEST(summary[0].second.total == 10U);
+}
+
 // The new home knows earlier spending only as a total; what live gateways deliver afterwards is
 // added to it.
 BOOST_AUTO_TEST_CASE(newHomeAddsLaterSpendingToTheEarlierTotal)
