--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -45,8 +45,6 @@
 constexpr Duration kLedgerFetchSpread = std::chrono::seconds(4);
 constexpr std::uint64_t kLedgerFetchSteps = 64;
 constexpr Duration kLedgerLoadPause = std::chrono::milliseconds(200);
-// A successor reads only the journal after the last ledger; each ledger costs one store call.
-constexpr Duration kLedgerInterval = std::chrono::seconds(2);
 constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
 // Registrations lapse after three missed heartbeats of 1.2 s, so the store must have been
 // unavailable for most of that time. A shorter failure, such as one late answer, must not keep the
@@ -359,7 +357,6 @@
     static asio::awaitable<void> runMaintenance(std::shared_ptr<Private> self)
     {
         asio::steady_timer timer(self->executor);
-        Instant nextLedger = now();
         Instant nextHousekeeping = now();
         while (!self->isStopped) {
             self->mesh.flush();
@@ -376,8 +373,7 @@
                     "Dropped endpoint registrations that were not renewed after an outage.",
                     Field("endpoints", dropped));
             }
-            if (now() >= nextLedger) {
-                nextLedger = now() + kLedgerInterval;
+            if (self->keeper.isLedgerDue()) {
                 self->keeper.saveLedger();
             }
             if (now() >= nextHousekeeping) {
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -5,6 +5,7 @@
 #include "basilhall/gateway/internal/call_failures.h"
 #include "basilhall/gateway/internal/durability_waits.h"
 #include "basilhall/gateway/internal/kept_time.h"
+#include "basilhall/gateway/internal/ledger_schedule.h"
 #include "basilhall/gateway/internal/turn_index_writer.h"
 #include "basilhall/gateway/journal_cleaner.h"
 #include "basilhall/gateway/journal_reader.h"
@@ -137,9 +138,10 @@
         if (!hasDurableLedger) {
             answers.onSent();
         }
+        std::string data = encodeLedger(snapshot);
+        ledgerSchedule.onWritten(data.size(), now());
         ledger.write(
-            encodeLedger(snapshot),
-            [weak = weak_from_this(), batch = snapshot.batch](bool isDurable) {
+            std::move(data), [weak = weak_from_this(), batch = snapshot.batch](bool isDurable) {
                 const auto self = weak.lock();
                 if (!self) {
                     return;
@@ -501,6 +503,7 @@
     // The first ledger is durable, so that a list of the ledgers includes this journal: batches may
     // be written.
     bool hasDurableLedger = false;
+    LedgerSchedule ledgerSchedule;
     // Last batch that the durable ledger includes.
     journal::BatchNumber ledgerBatch = 0;
     JournalCleaner localJournal{state.turns()};
@@ -574,6 +577,11 @@
     }
 }
 
+bool TurnKeeper::isLedgerDue() const
+{
+    return d->ledgerSchedule.isDue(Private::now());
+}
+
 asio::awaitable<Result<void>> TurnKeeper::keep(turns::KeptTurn turn, Duration timeout)
 {
     const auto self = d;
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -96,6 +96,8 @@
     // Writes the ledger of this gateway if its journal has grown since the last one. The first
     // ledger is written before the first batch.
     void saveLedger();
+    // True if the last ledger was written long enough ago for its size; see LedgerSchedule.
+    bool isLedgerDue() const;
 
     // Makes the turn durable. StoreUnavailable after `timeout`; the turn may still become durable.
     boost::asio::awaitable<Result<void>> keep(turns::KeptTurn turn, Duration timeout);
