--- a/basilhall/http/internal/client_response.cpp
+++ b/basilhall/http/internal/client_response.cpp
@@ -3,7 +3,6 @@
 #include "basilhall/http/internal/codec.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
@@ -21,7 +20,6 @@
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint32_t kMaxHeaderBytes = 32 * 1024;
-constexpr std::size_t kPartBytes = 32 * 1024;
 constexpr int kFirstFinalStatus = 200;
 constexpr std::size_t kMaxSkippedBytes = 1024 * 1024;
 // The idle timeout of the server starts before the response arrives at the client.
@@ -82,19 +80,18 @@
 asio::awaitable<Result<std::optional<std::string>>> ClientResponse::readPart()
 {
     const auto self = shared_from_this();
-    std::array<char, kPartBytes> part; // NOLINT: filled by the parser
     while (!m_parser->is_done()) {
         auto &body = m_parser->get().body();
-        body.data = part.data();
-        body.size = part.size();
+        body.data = m_part.data();
+        body.size = m_part.size();
         auto [error, bytes] = co_await beast::http::async_read_some(
             m_connection->socket(), m_connection->buffer(), *m_parser, kTuple);
         if (error && error != beast::http::error::need_buffer) {
             co_return m_connection->failureOf("reading the answer body");
         }
-        const std::size_t size = part.size() - m_parser->get().body().size;
+        const std::size_t size = m_part.size() - m_parser->get().body().size;
         if (size > 0) {
-            co_return std::string(part.data(), size);
+            co_return std::string(m_part.data(), size);
         }
     }
     co_return std::optional<std::string>();
--- a/basilhall/http/internal/client_response.h
+++ b/basilhall/http/internal/client_response.h
@@ -8,6 +8,7 @@
 #include "basilhall/http/client.h"
 #include "basilhall/http/internal/connection_pool.h"
 
+#include <array>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
@@ -40,12 +41,16 @@
 
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+    static constexpr std::size_t kPartBytes = 8 * 1024;
+
     std::shared_ptr<ConnectionPool> m_pool;
     std::shared_ptr<ClientConnection> m_connection;
     const bool m_headOnly;
     std::unique_ptr<Parser> m_parser;
     int m_status = 0;
     Headers m_headers;
+    // The next part of the body. Not in the frame of readPart(), which is allocated for each part.
+    std::array<char, kPartBytes> m_part;
     bool m_finished = false;
 };
 
