Records: the time limit of a request to a peer does not count while this host is late

Cause: a gateway that passes records to the writing gateway, or to a peer if its own store does not answer, gave up after 700 (400) ms by its own clock. If its event loop was late, the answer had arrived unread; the record was then written by another gateway and by this one, and the object API counted as unavailable.

Change: requestKeep uses AnswerWatch: the limit counts from when the event loop was last late.

--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -3,6 +3,7 @@
 #include "basilhall/base/monotonic_clock.h"
 #include "basilhall/gateway/document_exchange.h"
 #include "basilhall/gateway/gateway.pb.h"
+#include "basilhall/gateway/internal/answer_watch.h"
 #include "basilhall/gateway/internal/peer_requests.h"
 #include "basilhall/gateway/internal/suspect_codec.h"
 #include "basilhall/gateway/internal/turn_finder.h"
@@ -1058,12 +1059,22 @@
         }
     }
 
+    // Time in which this host is late does not count: another gateway must not write records once
+    // more because their answer is read late.
     asio::awaitable<bool> requestKeep(Address address, std::string request, Duration timeout)
     {
-        const auto message =
-            co_await sendRequest(std::move(address), kKeepMethod, std::move(request), timeout);
+        auto stream = co_await client.open(std::move(address), kKeepMethod, std::move(request),
+                                           kPeerConnectTimeout);
+        if (!stream) {
+            co_return false;
+        }
+        const auto open = std::shared_ptr<transport::ClientStream>(std::move(stream).value());
+        AnswerWatch watch(executor, timeout, [open] { open->cancel(); });
+        watch.onSent();
+        const auto message = co_await open->next();
         wire::KeepReply reply;
-        co_return message &&reply.ParseFromString(*message) && reply.durable();
+        const bool isParsed = message && message.value() && reply.ParseFromString(*message.value());
+        co_return isParsed &&reply.durable();
     }
 
     // Returns the holders that may write the records of this gateway, in order of preference: those
