Holders read the same batches for each request after a restart of all: a failing test

From 39 s on, the five holders have up to 3,100 connections each, and at nearly all times two to four of them use all of their 0.5 cores until the end; the second host of each domain, of the same size, uses 0.05 to 0.14. A holder receives up to 110 MB a second. 223 of 224 "Lost a peer." of the last 7 s name a holder.

The test requests 400 chains at once after such a restart.

--- a/basilhall/gateway/turn_index_load_test.cpp
+++ b/basilhall/gateway/turn_index_load_test.cpp
@@ -6,6 +6,10 @@
 #include "basilhall/gateway/turn_index.h"
 #include "basilhall/journal/batch_codec.h"
 
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <deque>
 #include <variant>
 
 using namespace basilhall;
@@ -81,10 +85,45 @@
     StoreAccess storeAccess()
     {
         return [this](const store::Request &request, const store::OutcomeHandler &handler) {
-            handler(access(request));
+            if (isDelayed) {
+                delayed.push_back([this, request, handler] { handler(access(request)); });
+            } else {
+                handler(access(request));
+            }
         };
     }
 
+    // Requests the last turn of each chain at once, and answers one request to the store after the
+    // other. Returns the number of turns that were found.
+    int promptAll(int turns)
+    {
+        int found = 0;
+        int unanswered = 0;
+        isDelayed = true;
+        for (int number = kChainLength - 1; number < turns; number += kChainLength) {
+            ++unanswered;
+            asio::co_spawn(
+                context,
+                [this, number, &found, &unanswered]() -> asio::awaitable<void> {
+                    const turns::TurnId previous(nameOf(number));
+                    const auto prompt = co_await successor.prompt(previous, kTeam, "next");
+                    found += prompt ? 1 : 0;
+                    --unanswered;
+                },
+                asio::detached);
+        }
+        while (unanswered > 0) {
+            context.poll();
+            mostDelayed = std::max(mostDelayed, delayed.size());
+            if (!delayed.empty()) {
+                const auto answer = delayed.front();
+                delayed.pop_front();
+                answer();
+            }
+        }
+        return found;
+    }
+
     asio::io_context context;
     // The context keeps running between two steps of a test.
     asio::executor_work_guard<asio::io_context::executor_type> work =
@@ -95,6 +134,9 @@
     int journalLists = 0;
     int batchReads = 0;
     bool isCutFromStore = false;
+    bool isDelayed = false;
+    std::deque<std::function<void()>> delayed;
+    std::size_t mostDelayed = 0;
     FleetState state{Incarnation("lost-1"), FailureDomain("a")};
     TurnKeeper keeper{context.get_executor(), storeAccess(), HostName("lost"), state,
                       logging::Log(),         registry};
@@ -125,6 +167,23 @@
     BOOST_TEST(prompt("none").has_error());
 }
 
+// Holders of a large fleet read the same batches again for each waiting request, over 2,600
+// connections at a time, and had no processor time left for their peers.
+BOOST_AUTO_TEST_CASE(requestsAfterARestartOfAllReadEachBatchOnce)
+{
+    constexpr int kTurnsAWrite = 30;
+    constexpr int kWrites = 40;
+    for (int number = 0; number < kWrites; ++number) {
+        write(number * kTurnsAWrite, (number + 1) * kTurnsAWrite);
+    }
+    load();
+    batchReads = 0;
+    BOOST_TEST(promptAll(kWrites * kTurnsAWrite) == kWrites * kTurnsAWrite / kChainLength);
+    const auto batches = objects.apply(store::List{journal::kJournalKind, ""});
+    BOOST_TEST(batchReads <= static_cast<int>(batches.value().size()));
+    BOOST_TEST(mostDelayed <= 32U);
+}
+
 BOOST_AUTO_TEST_CASE(turnsAfterTheLastLedgerAreFound)
 {
     write(0, 3);
