A batch is read once for all requests that wait for its turns, and 32 at a time

After a restart of all, holders know where turns are stored, and read the batches of a chain when they are asked for it. Each request read them for itself, also while another read of the same batch was under way, and a bound held for one chain only: with one writer for the fleet, each batch has turns of many programs, so the reads grew with the requests that wait times the batches of their chains. Callers and peers that give up and ask again added more of them.

BatchReads shares reads by batch and limits them for the whole gateway.

--- a/basilhall/gateway/journal_reader.cpp
+++ b/basilhall/gateway/journal_reader.cpp
@@ -1,6 +1,7 @@
 #include "basilhall/gateway/journal_reader.h"
 
 #include "basilhall/base/monotonic_clock.h"
+#include "basilhall/gateway/internal/batch_reads.h"
 #include "basilhall/gateway/internal/kept_time.h"
 #include "basilhall/gateway/internal/open_journals.h"
 #include "basilhall/gateway/internal/read_ranges.h"
@@ -28,7 +29,7 @@
 // Maximum number of batches of one journal that are read concurrently. At most 2 s of batches, 25 a
 // second, follow the last ledger.
 constexpr std::size_t kReadWindow = 8;
-// Maximum number of journals, and of batches of one chain, that are read concurrently.
+// Maximum number of journals, and of batches of all chains, that are read concurrently.
 constexpr std::size_t kConcurrentReads = 32;
 // Interval at which open journals are read in any case; their writers keep batches for four times
 // as long.
@@ -47,6 +48,9 @@
         , access(std::move(a))
         , state(s)
         , log(std::move(l))
+        , chainReads(
+              e, access, [this](const store::Object &object) { addTurns(object); },
+              kConcurrentReads)
         , refreshed(e)
     {
     }
@@ -368,27 +372,15 @@
             co_return Error(ErrorKind::NotFound,
                             "it is unknown where turn \"" + id.value() + "\" is stored");
         }
-        std::set<std::pair<Incarnation, journal::BatchNumber>> batches;
+        std::set<store::ObjectKey> batches;
         for (const turns::StoredTurn &stored : *missing) {
-            batches.emplace(stored.journal, stored.batch);
+            batches.insert(journal::batchKey(stored.journal, stored.batch));
         }
-        std::vector<store::Request> requests;
-        for (auto batch = batches.begin(); batch != batches.end();) {
-            requests.emplace_back(store::Read{journal::batchKey(batch->first, batch->second)});
-            if (++batch != batches.end() && requests.size() < kConcurrentReads) {
-                continue;
-            }
-            const auto outcomes = co_await self->executeAll(std::exchange(requests, {}));
-            for (const store::Outcome &outcome : outcomes) {
-                if (!outcome) {
-                    self->log.warning("Cannot read a kept turn.", Field("turn", id),
-                                      Field("reason", outcome.error()));
-                    co_return Error(ErrorKind::StoreUnavailable, outcome.error().message());
-                }
-                for (const store::Object &object : outcome.value()) {
-                    self->addTurns(object);
-                }
-            }
+        const Result<void> read = co_await self->chainReads.read(std::move(batches));
+        if (!read) {
+            self->log.warning("Cannot read a kept turn.", Field("turn", id),
+                              Field("reason", read.error()));
+            co_return Error(ErrorKind::StoreUnavailable, read.error().message());
         }
         const auto unread = self->state.turns().missing(id);
         if (unread && !unread->empty()) {
@@ -516,6 +508,8 @@
     // Start of the last read of all open journals.
     Instant openReadAt = now();
     ReadRanges ranges;
+    // Reads the content of chains.
+    BatchReads chainReads;
     // The unread journals that may contain unknown spending: their writers are lost, or were
     // reported by a peer.
     std::set<Incarnation> unreadSpending;
