Gateways measure how late their own event loop is, and show it

Callers saw a fleet that served for some seconds after the restart of all and then no longer.

hostload::HostLoad decides from the lateness of a timer, without clock or I/O, with hysteresis; HostLoadMonitor drives it every 40 ms, logs each change and each second in which the host is late, with loop delay, processor share, pending bytes, age of the oldest record and running requests, and sets gauges. No decision uses it yet.

--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -11,6 +11,7 @@
 #include "basilhall/fleet/leaving_endpoints.h"
 #include "basilhall/fleet/policy.h"
 #include "basilhall/fleet/version_history.h"
+#include "basilhall/hostload/host_load.h"
 #include "basilhall/limit/shared_rate.h"
 #include "basilhall/placement/placement.h"
 #include "basilhall/placement/program_starts.h"
@@ -98,6 +99,9 @@
 
     placement::Placement &placement() { return m_placement; }
     placement::ProgramStarts &programStarts() { return m_programStarts; }
+    // Whether this host keeps up with its own work.
+    hostload::HostLoad &hostLoad() { return m_hostLoad; }
+    const hostload::HostLoad &hostLoad() const { return m_hostLoad; }
     // Requests that may have crashed endpoints.
     suspects::CrashEvidence &crashes() { return m_crashes; }
     // The same for the single bodies of requests that crashes() knows by their family.
@@ -121,6 +125,7 @@
     fleet::LeavingEndpoints m_leaving;
     placement::Placement m_placement;
     placement::ProgramStarts m_programStarts;
+    hostload::HostLoad m_hostLoad;
     suspects::CrashEvidence m_crashes;
     suspects::CrashEvidence m_bodyCrashes;
     suspects::RequestFamilies m_families;
--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "basilhall/gateway/gateway.h"
 
 #include "basilhall/base/monotonic_clock.h"
+#include "basilhall/gateway/host_load_monitor.h"
 #include "basilhall/gateway/journal_reader.h"
 #include "basilhall/gateway/membership.h"
 #include "basilhall/gateway/peer_mesh.h"
@@ -63,6 +64,7 @@
 constexpr Duration kMaxWatchRetryDelay = std::chrono::milliseconds(400);
 // While the object API is unavailable, most gateways of a large fleet call it less often.
 constexpr Duration kMaxFallbackRetryDelay = std::chrono::seconds(2);
+constexpr Duration kLoadSampleInterval = std::chrono::milliseconds(40);
 constexpr Duration kDrainCheck = std::chrono::milliseconds(50);
 
 Member memberOf(const settings::GatewaySettings &settings, const Incarnation &incarnation)
@@ -96,6 +98,8 @@
         , state(incarnation, settings.failureDomain)
         , keeper(e, access, settings.host, state, logs.log("turns"), registry)
         , callLog(logs.log("call"), registry)
+        , loadMonitor(state.hostLoad(), keeper, callLog, settings.processorMillis, logs.log("load"),
+                      registry)
         , mesh(
               e, memberOf(settings, incarnation), state, keeper, logs.log("peers"),
               [this](const Document &document) { takeDocument(document); },
@@ -397,6 +401,17 @@
         }
     }
 
+    static asio::awaitable<void> monitorLoad(std::shared_ptr<Private> self)
+    {
+        asio::steady_timer timer(self->executor);
+        while (!self->isStopped) {
+            const Instant due = now() + kLoadSampleInterval;
+            timer.expires_after(kLoadSampleInterval);
+            (void)co_await timer.async_wait(kTuple);
+            self->loadMonitor.onTimer(due, now());
+        }
+    }
+
     static asio::awaitable<void> drain(std::shared_ptr<Private> self, std::function<void()> done)
     {
         self->isDraining = true;
@@ -431,6 +446,7 @@
     FleetState state;
     TurnKeeper keeper;
     CallLog callLog;
+    HostLoadMonitor loadMonitor;
     PeerMesh mesh;
     Membership membership;
     http::Server readyServer;
@@ -530,6 +546,7 @@
     d->membership.join();
     asio::co_spawn(d->executor, Private::load(d), asio::detached);
     asio::co_spawn(d->executor, Private::runMaintenance(d), asio::detached);
+    asio::co_spawn(d->executor, Private::monitorLoad(d), asio::detached);
 }
 
 void Gateway::drain(std::function<void()> done)
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -760,6 +760,16 @@
     });
 }
 
+std::size_t TurnKeeper::pendingBytes() const
+{
+    return d->writer.pendingBytes();
+}
+
+std::optional<Instant> TurnKeeper::oldestPendingSince() const
+{
+    return d->writer.oldestPendingSince();
+}
+
 bool TurnKeeper::isIdle() const
 {
     return d->writer.pendingBytes() == 0;
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -130,6 +130,10 @@
     // turn that continues an expired one may be unknown here. Only one gateway passes the live
     // incarnations: it also removes the objects of all others. The other gateways pass nothing.
     void expire(bool receivesAllTurns, const std::optional<std::set<Incarnation>> &live);
+    // Size of the records of this gateway's journal that are not durable yet, and when the oldest
+    // of them was accepted.
+    std::size_t pendingBytes() const;
+    std::optional<Instant> oldestPendingSince() const;
     // True if no record is waiting to become durable.
     bool isIdle() const;
 
--- a/basilhall/metrics/metric.h
+++ b/basilhall/metrics/metric.h
@@ -34,6 +34,10 @@
     ObjectApiRequests,
     ObjectApiFailures,
     ObjectApiSeconds,
+    // Load of the host.
+    LoopDelaySeconds,
+    HostLoadState,
+    ProcessorShare,
     // Manifest.
     ManifestGeneration,
     ManifestRefusals,
