A host that is late with its own work refuses first turns

Callers saw a fleet that did not come back after a disruption, though the load was the usual one again. Admission looked at the endpoints, never at the host: a host without processor time left went on to take up programs, was late with all of them, and callers sent their requests again.

A gateway now refuses first turns as not run at its own door, before keys and limits are worked out: the share grows with the delay of its event loop, a hash of the program decides who belongs to it, less urgent programs come first, and the share is zero once the loop is on time. Turns of begun programs go on. A request with less time than the loop takes for its steps is refused at once.

--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -19,6 +19,7 @@
 #include "basilhall/gateway/stream_continuer.h"
 #include "basilhall/gateway/suspect_guard.h"
 #include "basilhall/gateway/turn_keeper.h"
+#include "basilhall/hostload/program_admission.h"
 #include "basilhall/http/client.h"
 #include "basilhall/placement/program_admission.h"
 
@@ -91,6 +92,7 @@
         }
         BOOST_OUTCOME_TRY(context.call, Dialect::decodeCall(context.exchange->request()));
         BOOST_OUTCOME_TRY(resolveRoute(context));
+        BOOST_OUTCOME_TRY(admitByHostLoad(context));
         setRequestKeys(context);
         BOOST_OUTCOME_TRY(m_suspects.admit(context));
         BOOST_OUTCOME_TRY(admitProgram(context));
@@ -101,10 +103,32 @@
         return success();
     }
 
+    // Refuses what this host cannot serve in time, before any work is done for it: requests with
+    // too little time left, and first turns of programs while the host is late with its own work.
+    Result<void> admitByHostLoad(CallContext &context)
+    {
+        context.beginsProgram = beginsProgram(context);
+        const Duration loopDelay = m_state.hostLoad().loopDelay();
+        const std::uint64_t hash = std::hash<std::string>()(context.call.program.value());
+        const bool isTooLate =
+            context.deadline - context.arrivedAt < hostload::minServiceTime(loopDelay);
+        const bool isRefused = isTooLate
+            || (context.beginsProgram
+                && hostload::refusesProgram(loopDelay, priorityOf(context), hash));
+        if (!isRefused) {
+            return success();
+        }
+        m_log.hostLate(context, m_state.hostLoad());
+        return Error(ErrorKind::Overloaded,
+                     isTooLate ? "the host is late; the request cannot be served in its time"
+                               : "the host is late; no further program begins")
+            .withNotRun()
+            .withRetryAfter(hostload::retryAfter(loopDelay, hash));
+    }
+
     // Refuses the first turn of a program while the engines are overloaded.
     Result<void> admitProgram(CallContext &context)
     {
-        context.beginsProgram = beginsProgram(context);
         placement::ProgramStarts &starts = m_state.programStarts();
         if (!context.beginsProgram) {
             if (!context.call.program.isEmpty()) {
--- a/basilhall/gateway/internal/call_log.cpp
+++ b/basilhall/gateway/internal/call_log.cpp
@@ -35,6 +35,7 @@
     , m_started(registry.counter(Metric::CallsStarted, "request"))
     , m_ok(registry.counter(Metric::CallsFinished, "ok"))
     , m_held(registry.counter(Metric::SuspectsHeld))
+    , m_hostLate(registry.counter(Metric::HostLateRefusals))
     , m_notContinued(registry.counter(Metric::StreamsNotContinued))
     , m_seconds(registry.quantile(Metric::CallSeconds, "request"))
     , m_firstSeconds(registry.quantile(Metric::FirstTokenSeconds))
@@ -102,6 +103,14 @@
                Field("stretch", load.stretch));
 }
 
+void CallLog::hostLate(const CallContext &context, const hostload::HostLoad &load)
+{
+    m_hostLate.add();
+    // The end of the request is logged too; a late host cannot afford both.
+    m_log.debug("Refused a request because the host is late.", Field("call", context.call.id),
+                Field("program", context.call.program), Field("loop_delay", load.loopDelay()));
+}
+
 void CallLog::broken(const CallContext &context, const fleet::Endpoint &endpoint,
                      const suspects::Suspicion &suspicion)
 {
--- a/basilhall/gateway/internal/call_log.h
+++ b/basilhall/gateway/internal/call_log.h
@@ -7,6 +7,7 @@
 
 #include "basilhall/base/result.h"
 #include "basilhall/gateway/call_context.h"
+#include "basilhall/hostload/host_load.h"
 #include "basilhall/logging/log.h"
 #include "basilhall/metrics/registry.h"
 #include "basilhall/placement/program_admission.h"
@@ -38,6 +39,8 @@
     void limitedProgram(const CallContext &context, double perSecond);
     // The first turn of a program is refused.
     void overloaded(const CallContext &context, const placement::EngineLoad &load);
+    // The request is refused because this host is late with its own work.
+    void hostLate(const CallContext &context, const hostload::HostLoad &load);
     // The connection to the endpoint broke while it ran the request, so it may have ended.
     void broken(const CallContext &context, const fleet::Endpoint &endpoint,
                 const suspects::Suspicion &suspicion);
@@ -71,6 +74,7 @@
     metrics::Counter &m_started;
     metrics::Counter &m_ok;
     metrics::Counter &m_held;
+    metrics::Counter &m_hostLate;
     metrics::Counter &m_notContinued;
     metrics::Quantile &m_seconds;
     metrics::Quantile &m_firstSeconds;
--- a/basilhall/hostload/overload_recovery_test.cpp
+++ b/basilhall/hostload/overload_recovery_test.cpp
@@ -1,4 +1,5 @@
 #include "basilhall/hostload/host_load.h"
+#include "basilhall/hostload/program_admission.h"
 
 #include <boost/test/unit_test.hpp>
 #include <deque>
@@ -159,9 +160,10 @@
         }
         Program &program = m_programs[event.program];
         const bool isAwaited = program.awaited == event.number && !program.hasFailed;
-        if (program.turn == 0 && refuses(program)) {
+        if (program.turn == 0
+            && refusesProgram(m_load.loopDelay(), program.priority, program.hash)) {
             if (isAwaited) {
-                program.returnAt = m_now + retryAfter(program);
+                program.returnAt = m_now + retryAfter(m_load.loopDelay(), program.hash);
             }
             return kRefusalWork;
         }
@@ -177,9 +179,6 @@
         return kTurnWork;
     }
 
-    bool refuses(const Program & /*program*/) const { return false; }
-    Duration retryAfter(const Program & /*program*/) const { return 1s; }
-
     static constexpr std::size_t kTimer = ~std::size_t(0);
 
     std::mt19937_64 m_random{1};
--- a/basilhall/metrics/metric.h
+++ b/basilhall/metrics/metric.h
@@ -38,6 +38,7 @@
     LoopDelaySeconds,
     HostLoadState,
     ProcessorShare,
+    HostLateRefusals,
     // Manifest.
     ManifestGeneration,
     ManifestRefusals,
