--- a/basilhall/metrics/metric.h
+++ b/basilhall/metrics/metric.h
@@ -34,6 +34,11 @@
     ObjectApiRequests,
     ObjectApiFailures,
     ObjectApiSeconds,
+    // Load of the host.
+    LoopDelaySeconds,
+    HostLoadState,
+    ProcessorShare,
+    HostLateRefusals,
     // Manifest.
     ManifestGeneration,
     ManifestRefusals,
