HTTP: bodies are not read in pieces of 512 bytes

Cause: Beast reads as much as its buffer has room for, 512 bytes for a new one, and the buffer grows only by what a parser leaves over. Each read is a pass of the event loop. The answer to a write repeats the object, so a batch of 128 KB took some 200 passes; on a host without processor time left each pass takes 3 to 10 ms. Each delay makes the next batch larger, records wait, turns are refused after their work and come back: the state keeps itself up. Requests of 20 KB cost 40 passes in the same way.

Change: both sides reserve 16 KB before they read.

--- a/basilhall/http/internal/client_response.cpp
+++ b/basilhall/http/internal/client_response.cpp
@@ -63,6 +63,8 @@
 asio::awaitable<Result<void>> ClientResponse::readHeader()
 {
     const auto self = shared_from_this();
+    // A read takes what the buffer has room for, which would be 512 bytes.
+    m_connection->buffer().reserve(kPartBytes);
     const auto [error, bytes] = co_await beast::http::async_read_header(
         m_connection->socket(), m_connection->buffer(), *m_parser, kTuple);
     if (error) {
--- a/basilhall/http/internal/client_response.h
+++ b/basilhall/http/internal/client_response.h
@@ -41,7 +41,7 @@
 
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-    static constexpr std::size_t kPartBytes = 8 * 1024;
+    static constexpr std::size_t kPartBytes = 16 * 1024;
 
     std::shared_ptr<ConnectionPool> m_pool;
     std::shared_ptr<ClientConnection> m_connection;
--- a/basilhall/http/internal/connection.cpp
+++ b/basilhall/http/internal/connection.cpp
@@ -115,6 +115,8 @@
 
 asio::awaitable<bool> Connection::readRequest(Parser &parser)
 {
+    // A read takes what the buffer has room for, which would be 512 bytes.
+    m_buffer.reserve(kReadBytes);
     m_deadline.arm(m_limits.readTimeout);
     const auto [error, bytes] =
         co_await beast::http::async_read_header(m_socket, m_buffer, parser, kTuple);
