--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -60,6 +60,9 @@
 // Minimum time between two batches, so that records created at about the same time share a store
 // call.
 constexpr Duration kFlushInterval = std::chrono::milliseconds(40);
+// A batch is written and read as a whole by the thread that serves requests, and the records behind
+// it wait.
+constexpr std::size_t kBatchBytes = 96 * 1024;
 // Spending of programs that are admitted within this time is written together. The shortest turns
 // take twice as long.
 constexpr Duration kCoverBatchDelay = std::chrono::milliseconds(20);
@@ -80,7 +83,7 @@
         , log(std::move(l))
         , reader(e, access, s, log)
         , batches(registry.counter(metrics::Metric::JournalBatches))
-        , writer(s.self(), ids, {.flushInterval = kFlushInterval})
+        , writer(s.self(), ids, {.flushInterval = kFlushInterval, .batchBytes = kBatchBytes})
         , ledger(access, {kLedgerKind, s.self().value()})
         , index(s.self())
         , relayableWaits(e)
--- a/basilhall/journal/writer.cpp
+++ b/basilhall/journal/writer.cpp
@@ -46,7 +46,7 @@
 Writer::PendingBatch &Writer::openBatch(std::size_t bytes, Instant now)
 {
     const bool fits = !m_batches.empty() && !m_batches.back().closed
-        && m_batches.back().bytes + bytes <= kMaxBatchBytes;
+        && m_batches.back().bytes + bytes <= std::min(kMaxBatchBytes, m_options.batchBytes);
     if (fits) {
         return m_batches.back();
     }
@@ -81,7 +81,12 @@
     if (m_batches.empty()) {
         return false;
     }
-    return !m_lastSent || now >= *m_lastSent + m_flushInterval;
+    return !m_lastSent || isFrontFull() || now >= *m_lastSent + m_flushInterval;
+}
+
+bool Writer::isFrontFull() const
+{
+    return m_options.batchBytes < kMaxBatchBytes && m_batches.size() > 1;
 }
 
 store::Operation Writer::sendCreate(Instant now)
@@ -184,7 +189,7 @@
     if (m_phase != Phase::Idle || m_batches.empty()) {
         return std::nullopt;
     }
-    return m_lastSent ? *m_lastSent + m_flushInterval : m_batches.front().since;
+    return m_lastSent && !isFrontFull() ? *m_lastSent + m_flushInterval : m_batches.front().since;
 }
 
 std::optional<Instant> Writer::oldestPendingSince() const
--- a/basilhall/journal/writer.h
+++ b/basilhall/journal/writer.h
@@ -100,6 +100,7 @@
     PendingBatch &openBatch(std::size_t bytes, Instant now);
     BatchNumber lastNumber() const { return m_durableNumber + m_batches.size(); }
     bool isDue(Instant now) const;
+    bool isFrontFull() const;
     store::Operation sendCreate(Instant now);
     store::Operation sendRead();
     void onCreated(const store::Outcome &outcome, Instant now);
--- a/basilhall/journal/writer_options.h
+++ b/basilhall/journal/writer_options.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstddef>
+#include <limits>
 
 namespace basilhall::journal
 {
@@ -14,6 +15,9 @@
     // Minimum time between two creates. A record that arrives after the writer was idle for this
     // time is sent immediately. See flushIntervalFor().
     Duration flushInterval = std::chrono::milliseconds(20);
+    // Size from which records go into another batch. While one waits behind it, a batch is sent
+    // without waiting for flushInterval. A batch is never larger than kMaxBatchBytes.
+    std::size_t batchBytes = std::numeric_limits<std::size_t>::max();
     // Number of bytes not yet durable above which the owner should refuse new work.
     std::size_t softPendingBytes = 16 * 1024 * 1024;
     // Maximum number of bytes not yet durable; records that would exceed it are not accepted.
--- a/basilhall/journal/writer_test.cpp
+++ b/basilhall/journal/writer_test.cpp
@@ -69,6 +69,55 @@
     BOOST_TEST(writer.pendingBytes() == 0);
 }
 
+// Batches of megabytes took up to 9 s on a host with a fifth of a core, and each write made the
+// next one larger.
+BOOST_AUTO_TEST_CASE(batchesDoNotGrowWhileAWriteIsSlow)
+{
+    constexpr std::size_t kRecordBytes = 10'000;
+    constexpr std::size_t kBatchBytes = 5 * kRecordBytes;
+    Writer bounded(kOwner, ids, {.batchBytes = kBatchBytes});
+    BOOST_TEST(bounded.append(record(), now).has_value());
+    std::vector<store::Operation> sent = bounded.advance(now);
+    constexpr int kRecords = 400;
+    for (int i = 0; i < kRecords; ++i) {
+        BOOST_TEST(bounded.append(record(kRecordBytes), now).has_value());
+    }
+    int creates = 0;
+    while (!sent.empty()) {
+        const auto *create = std::get_if<store::Create>(&sent.front().request);
+        BOOST_TEST_REQUIRE(create != nullptr);
+        BOOST_TEST(create->data.size() < 2 * kBatchBytes);
+        ++creates;
+        bounded.onOutcome(sent.front().id, memory.apply(sent.front().request), now);
+        sent = bounded.advance(now);
+    }
+    // The last batch is not full: it waits for more records.
+    BOOST_TEST(creates >= kRecords / 5);
+    BOOST_TEST(bounded.pendingBytes() <= kBatchBytes);
+    now = *bounded.nextWake();
+    sent = bounded.advance(now);
+    BOOST_TEST_REQUIRE(sent.size() == 1U);
+    bounded.onOutcome(sent.front().id, memory.apply(sent.front().request), now);
+    BOOST_TEST(bounded.durableTicket() == kRecords + 1U);
+}
+
+BOOST_AUTO_TEST_CASE(recordLargerThanABatchIsWrittenByItself)
+{
+    Writer bounded(kOwner, ids, {.batchBytes = 100});
+    BOOST_TEST(bounded.append(record(1'000), now).has_value());
+    BOOST_TEST(bounded.append(record(), now).has_value());
+    int creates = 0;
+    for (int step = 0; step < 2; ++step) {
+        const auto sent = bounded.advance(now);
+        BOOST_TEST_REQUIRE(sent.size() == 1U);
+        bounded.onOutcome(sent.front().id, memory.apply(sent.front().request), now);
+        ++creates;
+        now = bounded.nextWake().value_or(now);
+    }
+    BOOST_TEST(creates == 2);
+    BOOST_TEST(bounded.durableTicket() == 2U);
+}
+
 // Guards against an interval that is rounded down to whole seconds: 30 writers then made 6000
 // writes per second with a budget of 200.
 BOOST_AUTO_TEST_CASE(flushIntervalKeepsTheWriteBudget)
