--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -325,9 +325,15 @@
         http::RequestOptions options;
         options.cancellation = context->cancellation;
         options.connectTimeout = kEndpointConnectTimeout;
-        options.belongs = [id = context->call.id](const http::Headers &headers) {
+        // The answer to a request without an id can only be told by its connection.
+        options.newConnection = context->call.id.isEmpty();
+        options.ownerOf = [id = context->call.id](const http::Headers &headers) {
             const AnswerFacts facts = Dialect::answerFacts(0, headers);
-            return facts.call.isEmpty() || facts.call == id;
+            if (facts.call.isEmpty()) {
+                return http::ResponseOwner::Unknown;
+            }
+            return facts.call == id ? http::ResponseOwner::ThisRequest
+                                    : http::ResponseOwner::OtherRequest;
         };
         http::Request request = Dialect::endpointRequest(
             context->exchange->request(), dispatchTo(*context, endpoint), context->body);
--- a/basilhall/gateway/process_prover.h
+++ b/basilhall/gateway/process_prover.h
@@ -71,6 +71,12 @@
         m_proofs.expire(askedAt - kRetention);
         http::RequestOptions options;
         options.connectTimeout = kConnectTimeout;
+        // The question has no id, so an answer that has one belongs to a request.
+        options.ownerOf = [](const http::Headers &headers) {
+            return Dialect::answerFacts(0, headers).call.isEmpty()
+                ? http::ResponseOwner::ThisRequest
+                : http::ResponseOwner::OtherRequest;
+        };
         const auto answer = co_await m_client.send(endpoint.address, Dialect::processRequest(),
                                                    kTimeout, std::move(options));
         const auto startedAt = answer ? Dialect::processStart(answer.value()) : std::nullopt;
--- a/basilhall/http/client.cpp
+++ b/basilhall/http/client.cpp
@@ -105,7 +105,7 @@
         // A server may respond and close before it has read the whole request, so a failed write
         // does not rule out a response.
         if (done || !done.error().notRun()) {
-            const Result<void> responded = co_await readMatchingHeader(*response, options);
+            const Result<void> responded = co_await readMatchingHeader(*response, options, isNew);
             done = responded || done ? responded : done;
         }
         if (options.cancellation) {
@@ -120,11 +120,23 @@
 
     // Reads response headers until one belongs to the request: a server may send a second response
     // to an earlier request.
-    static asio::awaitable<Result<void>> readMatchingHeader(ClientResponse &response,
-                                                            const RequestOptions &options)
+    static asio::awaitable<Result<void>>
+    readMatchingHeader(ClientResponse &response, const RequestOptions &options, bool isNew)
     {
         Result<void> done = co_await response.readHeader();
-        while (done && options.belongs && !options.belongs(response.headers())) {
+        bool isFirst = isNew;
+        while (done && options.ownerOf) {
+            const ResponseOwner owner = options.ownerOf(response.headers());
+            if (owner == ResponseOwner::ThisRequest
+                || (owner == ResponseOwner::Unknown && isFirst)) {
+                break;
+            }
+            if (owner == ResponseOwner::Unknown) {
+                co_return Error(ErrorKind::EndpointFailed,
+                                "the response from " + toString(response.connection().server())
+                                    + " may belong to an earlier request");
+            }
+            isFirst = false;
             done = co_await response.skip();
             if (done) {
                 done = co_await response.readHeader();
--- a/basilhall/http/client.h
+++ b/basilhall/http/client.h
@@ -10,6 +10,7 @@
 #include "basilhall/base/time.h"
 #include "basilhall/http/cancellation.h"
 #include "basilhall/http/message.h"
+#include "basilhall/http/response_owner.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -47,9 +48,11 @@
     std::shared_ptr<Cancellation> cancellation;
     // Upper bound on the connection setup; the timeout of the request applies as well.
     Duration connectTimeout = Duration::max();
-    // Returns true if a response with these headers belongs to this request; other responses are
-    // read and discarded. If empty, every response is accepted.
-    std::function<bool(const Headers &)> belongs;
+    // Tells by its headers whose response has arrived; responses to other requests are read and
+    // discarded. One of unknown owner is accepted as the first response of a new connection only;
+    // otherwise the request fails with EndpointFailed, since it may run while an earlier response
+    // was sent twice. If empty, every response is accepted.
+    std::function<ResponseOwner(const Headers &)> ownerOf;
 };
 
 // Not thread-safe: use only from its executor, which must run on a single thread.
--- a/standin/platform/versioned_engine.cpp
+++ b/standin/platform/versioned_engine.cpp
@@ -57,6 +57,10 @@
             (void)co_await exchange->respond(std::move(response));
             co_return;
         }
+        const auto id = http::findHeader(request.headers, "X-Attempt-Id");
+        if (id) {
+            response.headers.push_back({"X-Attempt-Id", std::string(*id)});
+        }
         const auto expected = http::findHeader(request.headers, "X-Expected-Instance");
         if (expected && *expected != self->process.name) {
             response.status = 421;
