--- a/basilhall/gateway/stream_continuer.h
+++ b/basilhall/gateway/stream_continuer.h
@@ -15,6 +15,7 @@
 #include "basilhall/gateway/internal/route_choice.h"
 #include "basilhall/gateway/process_prover.h"
 #include "basilhall/gateway/stream_origins.h"
+#include "basilhall/resumption/caller_deadlines.h"
 #include "basilhall/resumption/continuation_policy.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -43,16 +44,19 @@
     // Restricts the rest of a stream to the version that began it.
     boost::asio::awaitable<Result<void>> prepare(std::shared_ptr<CallContext> context)
     {
+        const fleet::Route &route = *context->route;
         if (!context->call.lastEvent) {
+            m_deadlines.onFirstAttempt(route.name, context->call.timeLeft);
             co_return success();
         }
         resumption::Continuation continuation = continuationOf(*context);
         if (continuation.isNamed) {
             continuation.origin = co_await m_origins.find(context->call.continues);
         } else {
-            continuation.onlyVersion =
-                m_state.onlyVersion(continuation.service, context->route->timeout + kMaxListDelay,
-                                    MonotonicClock().now());
+            const Duration age =
+                m_deadlines.maxStreamAge(route.name, route.timeout, context->call.timeLeft);
+            continuation.onlyVersion = m_state.onlyVersion(
+                continuation.service, age + kMaxListDelay, MonotonicClock().now());
         }
         const Result<resumption::StreamVersion> version = resumption::versionFor(continuation);
         if (!version) {
@@ -144,6 +148,7 @@
     StreamOrigins &m_origins;
     CallLog &m_log;
     ProcessProver<Dialect> m_prover;
+    resumption::CallerDeadlines m_deadlines;
 };
 
 } // namespace basilhall::gateway
