--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "basilhall/gateway/gateway.h"
 
 #include "basilhall/base/monotonic_clock.h"
+#include "basilhall/gateway/host_load_monitor.h"
 #include "basilhall/gateway/journal_reader.h"
 #include "basilhall/gateway/membership.h"
 #include "basilhall/gateway/peer_mesh.h"
@@ -45,8 +46,6 @@
 constexpr Duration kLedgerFetchSpread = std::chrono::seconds(4);
 constexpr std::uint64_t kLedgerFetchSteps = 64;
 constexpr Duration kLedgerLoadPause = std::chrono::milliseconds(200);
-// A successor reads only the journal after the last ledger; each ledger costs one store call.
-constexpr Duration kLedgerInterval = std::chrono::seconds(2);
 constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
 // Registrations lapse after three missed heartbeats of 1.2 s, so the store must have been
 // unavailable for most of that time. A shorter failure, such as one late answer, must not keep the
@@ -63,6 +62,7 @@
 constexpr Duration kMaxWatchRetryDelay = std::chrono::milliseconds(400);
 // While the object API is unavailable, most gateways of a large fleet call it less often.
 constexpr Duration kMaxFallbackRetryDelay = std::chrono::seconds(2);
+constexpr Duration kLoadSampleInterval = std::chrono::milliseconds(40);
 constexpr Duration kDrainCheck = std::chrono::milliseconds(50);
 
 Member memberOf(const settings::GatewaySettings &settings, const Incarnation &incarnation)
@@ -96,6 +96,8 @@
         , state(incarnation, settings.failureDomain)
         , keeper(e, access, settings.host, state, logs.log("turns"), registry)
         , callLog(logs.log("call"), registry)
+        , loadMonitor(state.hostLoad(), keeper, callLog, settings.processorMillis, logs.log("load"),
+                      registry)
         , mesh(
               e, memberOf(settings, incarnation), state, keeper, logs.log("peers"),
               [this](const Document &document) { takeDocument(document); },
@@ -359,7 +361,6 @@
     static asio::awaitable<void> runMaintenance(std::shared_ptr<Private> self)
     {
         asio::steady_timer timer(self->executor);
-        Instant nextLedger = now();
         Instant nextHousekeeping = now();
         while (!self->isStopped) {
             self->mesh.flush();
@@ -376,8 +377,7 @@
                     "Dropped endpoint registrations that were not renewed after an outage.",
                     Field("endpoints", dropped));
             }
-            if (now() >= nextLedger) {
-                nextLedger = now() + kLedgerInterval;
+            if (self->keeper.isLedgerDue()) {
                 self->keeper.saveLedger();
             }
             if (now() >= nextHousekeeping) {
@@ -397,6 +397,17 @@
         }
     }
 
+    static asio::awaitable<void> monitorLoad(std::shared_ptr<Private> self)
+    {
+        asio::steady_timer timer(self->executor);
+        while (!self->isStopped) {
+            const Instant due = now() + kLoadSampleInterval;
+            timer.expires_after(kLoadSampleInterval);
+            (void)co_await timer.async_wait(kTuple);
+            self->loadMonitor.onTimer(due, now());
+        }
+    }
+
     static asio::awaitable<void> drain(std::shared_ptr<Private> self, std::function<void()> done)
     {
         self->isDraining = true;
@@ -431,6 +442,7 @@
     FleetState state;
     TurnKeeper keeper;
     CallLog callLog;
+    HostLoadMonitor loadMonitor;
     PeerMesh mesh;
     Membership membership;
     http::Server readyServer;
@@ -530,6 +542,7 @@
     d->membership.join();
     asio::co_spawn(d->executor, Private::load(d), asio::detached);
     asio::co_spawn(d->executor, Private::runMaintenance(d), asio::detached);
+    asio::co_spawn(d->executor, Private::monitorLoad(d), asio::detached);
 }
 
 void Gateway::drain(std::function<void()> done)
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -1,8 +1,11 @@
 #include "basilhall/gateway/turn_keeper.h"
 
 #include "basilhall/base/monotonic_clock.h"
+#include "basilhall/gateway/internal/answer_watch.h"
 #include "basilhall/gateway/internal/call_failures.h"
+#include "basilhall/gateway/internal/durability_waits.h"
 #include "basilhall/gateway/internal/kept_time.h"
+#include "basilhall/gateway/internal/ledger_schedule.h"
 #include "basilhall/gateway/internal/turn_index_writer.h"
 #include "basilhall/gateway/journal_cleaner.h"
 #include "basilhall/gateway/journal_reader.h"
@@ -12,7 +15,6 @@
 #include "basilhall/journal/batch_codec.h"
 #include "basilhall/journal/writer.h"
 #include "basilhall/metrics/registry.h"
-#include "basilhall/transport/signal.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -33,8 +35,8 @@
 {
 
 constexpr auto kTuple = asio::as_tuple(asio::use_awaitable);
-// Time that a record may wait for the object API before a peer is asked to write it. A normal
-// answer takes 4 ms.
+// Time without an answer of the object API after which peers are asked to write records that have
+// waited as long. A normal answer takes 4 ms.
 constexpr Duration kRelayAfter = std::chrono::milliseconds(150);
 // New turns are refused immediately once writes have failed for this time.
 constexpr Duration kWriteFailureThreshold = std::chrono::milliseconds(600);
@@ -58,6 +60,9 @@
 // Minimum time between two batches, so that records created at about the same time share a store
 // call.
 constexpr Duration kFlushInterval = std::chrono::milliseconds(40);
+// A batch is written and read as a whole by the thread that serves requests, and the records behind
+// it wait.
+constexpr std::size_t kBatchBytes = 96 * 1024;
 // Spending of programs that are admitted within this time is written together. The shortest turns
 // take twice as long.
 constexpr Duration kCoverBatchDelay = std::chrono::milliseconds(20);
@@ -78,10 +83,12 @@
         , log(std::move(l))
         , reader(e, access, s, log)
         , batches(registry.counter(metrics::Metric::JournalBatches))
-        , writer(s.self(), ids, {.flushInterval = kFlushInterval})
+        , writer(s.self(), ids, {.flushInterval = kFlushInterval, .batchBytes = kBatchBytes})
         , ledger(access, {kLedgerKind, s.self().value()})
         , index(s.self())
-        , durabilityChanged(e)
+        , relayableWaits(e)
+        , waits(e)
+        , answers(e, kRelayAfter, [this] { onSilent(); })
         , writerTimer(e)
         , coverTimer(e)
     {
@@ -105,6 +112,7 @@
         }
         for (store::Operation &operation : writer.advance(now())) {
             batches.add();
+            answers.onSent();
             access(std::move(operation.request),
                    [self = shared_from_this(), id = operation.id](const store::Outcome &outcome) {
                        self->onOutcome(id, outcome);
@@ -117,7 +125,8 @@
 
     void saveLedger()
     {
-        if (hasDurableLedger && writer.durableNumber() == ledgerBatch) {
+        const bool isCurrent = hasDurableLedger && writer.durableNumber() == ledgerBatch;
+        if (isCurrent || ledger.isWriting()) {
             return;
         }
         LedgerSnapshot snapshot{state.self(), writer.durableNumber(), {}, host};
@@ -128,17 +137,21 @@
         snapshot.indexedBatch = index.lastSavedBatch();
         dropExpiredStreams();
         snapshot.streams = {recordedStreams.begin(), recordedStreams.end()};
-        snapshot.spends = state.budgets().summary();
-        std::erase_if(snapshot.spends, [this](const auto &entry) {
-            return !recordedPrograms.contains(entry.second.program);
-        });
+        snapshot.spends = state.budgets().summary(recordedPrograms);
+        if (!hasDurableLedger) {
+            answers.onSent();
+        }
+        std::string data = encodeLedger(snapshot);
+        ledgerSchedule.onWritten(data.size(), now());
         ledger.write(
-            encodeLedger(snapshot),
-            [weak = weak_from_this(), batch = snapshot.batch](bool isDurable) {
+            std::move(data), [weak = weak_from_this(), batch = snapshot.batch](bool isDurable) {
                 const auto self = weak.lock();
                 if (!self) {
                     return;
                 }
+                if (!self->hasDurableLedger) {
+                    self->answers.onAnswered();
+                }
                 if (isDurable) {
                     self->ledgerBatch = batch;
                     self->hasDurableLedger = true;
@@ -219,8 +232,16 @@
         }
     }
 
+    void onSilent()
+    {
+        log.warning("Object API does not answer a write.",
+                    Field("pending_bytes", writer.pendingBytes()));
+        relayableWaits.wakeAll();
+    }
+
     void onOutcome(store::OperationId id, const store::Outcome &outcome)
     {
+        answers.onAnswered();
         const bool isFailure = !outcome && outcome.error().kind() == ErrorKind::StoreUnavailable;
         noteStoreResult(!isFailure, outcome ? std::nullopt : std::optional(outcome.error()));
         const journal::BatchNumber before = writer.durableNumber();
@@ -228,10 +249,20 @@
         if (writer.durableNumber() > before) {
             noteBatch();
         }
-        durabilityChanged.notify();
+        wakeWaits();
         advanceWriter();
     }
 
+    void wakeWaits()
+    {
+        relayableWaits.onDurable(writer.durableTicket());
+        waits.onDurable(writer.durableTicket());
+        if (writer.isSealed()) {
+            relayableWaits.wakeAll();
+            waits.wakeAll();
+        }
+    }
+
     void noteStoreResult(bool isAvailable, const std::optional<Error> &error)
     {
         if (isAvailable) {
@@ -246,6 +277,7 @@
                 log.warning("Object API does not accept records.", Field("reason", *error));
             }
             storeFailures.onFailed(now());
+            relayableWaits.wakeAll();
         }
     }
 
@@ -287,14 +319,14 @@
         const Instant deadline = now() + timeout;
         const Instant relayAt = now() + kRelayAfter;
         bool isRelayed = !self->relay;
-        asio::steady_timer alarm(self->executor);
         while (self->writer.durableTicket() < ticket) {
             const Instant time = now();
             if (time >= deadline || self->writer.isSealed()) {
                 co_return Error(ErrorKind::StoreUnavailable, "the record is not durable yet")
                     .withRetryAfter(kNotDurableRetry);
             }
-            if (!isRelayed && (time >= relayAt || self->storeFailures.since())) {
+            const bool isSilent = self->answers.isSilent();
+            if (!isRelayed && (self->storeFailures.since() || (isSilent && time >= relayAt))) {
                 isRelayed = true;
                 const auto relay = self->relay;
                 if (co_await relay(records)) {
@@ -304,13 +336,12 @@
                 self->relayFailedAt = now();
                 continue;
             }
-            alarm.expires_after((isRelayed ? deadline : relayAt) - time);
-            alarm.async_wait([self](boost::system::error_code error) {
-                if (!error) {
-                    self->durabilityChanged.notify();
-                }
-            });
-            co_await self->durabilityChanged.wait();
+            if (isRelayed) {
+                co_await self->waits.wait(ticket, deadline - time);
+            } else {
+                const Instant until = isSilent ? std::min(relayAt, deadline) : deadline;
+                co_await self->relayableWaits.wait(ticket, until - time);
+            }
         }
         co_return success();
     }
@@ -475,6 +506,7 @@
     // The first ledger is durable, so that a list of the ledgers includes this journal: batches may
     // be written.
     bool hasDurableLedger = false;
+    LedgerSchedule ledgerSchedule;
     // Last batch that the durable ledger includes.
     journal::BatchNumber ledgerBatch = 0;
     JournalCleaner localJournal{state.turns()};
@@ -486,7 +518,13 @@
     TurnIndexWriter index;
     // Latest wall-clock time in ms until which a turn of this journal is kept.
     WallMillis lastKeptUntil = 0;
-    transport::Signal durabilityChanged;
+    // Waits for records of this gateway that may still be relayed.
+    DurabilityWaits relayableWaits;
+    // All other waits.
+    DurabilityWaits waits;
+    // Watches the writes of this gateway, so that records are relayed only if the object API does
+    // not answer, and not because this host is late.
+    AnswerWatch answers;
     asio::steady_timer writerTimer;
     CallFailures storeFailures;
     Relay relay;
@@ -542,6 +580,11 @@
     }
 }
 
+bool TurnKeeper::isLedgerDue() const
+{
+    return d->ledgerSchedule.isDue(Private::now());
+}
+
 asio::awaitable<Result<void>> TurnKeeper::keep(turns::KeptTurn turn, Duration timeout)
 {
     const auto self = d;
@@ -613,19 +656,11 @@
         co_return ticket.error();
     }
     self->advanceWriter();
-    const Instant deadline = Private::now() + timeout;
-    asio::steady_timer alarm(self->executor);
-    alarm.expires_after(timeout);
-    alarm.async_wait([self](boost::system::error_code error) {
-        if (!error) {
-            self->durabilityChanged.notify();
-        }
-    });
-    while (self->writer.durableTicket() < ticket.value()) {
-        if (Private::now() >= deadline || self->writer.isSealed()) {
-            co_return Error(ErrorKind::StoreUnavailable, "the records are not durable yet");
-        }
-        co_await self->durabilityChanged.wait();
+    if (self->writer.durableTicket() < ticket.value() && !self->writer.isSealed()) {
+        co_await self->waits.wait(ticket.value(), timeout);
+    }
+    if (self->writer.durableTicket() < ticket.value()) {
+        co_return Error(ErrorKind::StoreUnavailable, "the records are not durable yet");
     }
     co_return success();
 }
@@ -760,6 +795,16 @@
     });
 }
 
+std::size_t TurnKeeper::pendingBytes() const
+{
+    return d->writer.pendingBytes();
+}
+
+std::optional<Instant> TurnKeeper::oldestPendingSince() const
+{
+    return d->writer.oldestPendingSince();
+}
+
 bool TurnKeeper::isIdle() const
 {
     return d->writer.pendingBytes() == 0;
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -96,6 +96,8 @@
     // Writes the ledger of this gateway if its journal has grown since the last one. The first
     // ledger is written before the first batch.
     void saveLedger();
+    // True if the last ledger was written long enough ago for its size; see LedgerSchedule.
+    bool isLedgerDue() const;
 
     // Makes the turn durable. StoreUnavailable after `timeout`; the turn may still become durable.
     boost::asio::awaitable<Result<void>> keep(turns::KeptTurn turn, Duration timeout);
@@ -130,6 +132,10 @@
     // turn that continues an expired one may be unknown here. Only one gateway passes the live
     // incarnations: it also removes the objects of all others. The other gateways pass nothing.
     void expire(bool receivesAllTurns, const std::optional<std::set<Incarnation>> &live);
+    // Size of the records of this gateway's journal that are not durable yet, and when the oldest
+    // of them was accepted.
+    std::size_t pendingBytes() const;
+    std::optional<Instant> oldestPendingSince() const;
     // True if no record is waiting to become durable.
     bool isIdle() const;
 
