Peers: a call without an answer ends on a host that is often late

Cause: AnswerWatch set its count back at each check that was late by 10 ms, so on a busy host it never reported a call that is not answered. The records of a host waited for a hung writer until the connection fell silent (2.1 s), or without an end if the connection lived. Ruled out: a later limit for 'late', which only moves the load at which it happens. Change: late checks are not counted, and after twice as many checks as the limit needs the call counts as unanswered; all answers that arrived before the last of them have been read.

--- a/basilhall/gateway/internal/answer_watch.cpp
+++ b/basilhall/gateway/internal/answer_watch.cpp
@@ -10,8 +10,11 @@
 namespace
 {
 
-// Number of consecutive checks on time within the limit.
+// Number of checks on time within the limit.
 constexpr int kChecks = 5;
+// Number of checks, late or not, after which a call counts as unanswered: a check follows the
+// events before it, so each answer that arrived before the last checks has been read.
+constexpr int kMaxChecks = 2 * kChecks;
 // Delay of a check from which the event loop counts as late.
 constexpr Duration kLate = std::chrono::milliseconds(10);
 
@@ -44,8 +47,9 @@
             return;
         }
         const Duration delay = std::chrono::steady_clock::now() - timer.expiry();
-        punctualChecks = delay < kLate ? punctualChecks + 1 : 0;
-        if (punctualChecks < kChecks) {
+        ++checks;
+        punctualChecks += delay < kLate ? 1 : 0;
+        if (punctualChecks < kChecks && checks < kMaxChecks) {
             scheduleCheck();
             return;
         }
@@ -56,6 +60,7 @@
     boost::asio::steady_timer timer;
     Duration limit;
     std::function<void()> onSilent;
+    int checks = 0;
     int punctualChecks = 0;
     bool isWaiting = false;
     bool isSilent = false;
@@ -75,6 +80,7 @@
 void AnswerWatch::onSent()
 {
     d->isWaiting = true;
+    d->checks = 0;
     d->punctualChecks = 0;
     if (!d->isSilent) {
         d->scheduleCheck();
--- a/basilhall/gateway/internal/answer_watch.h
+++ b/basilhall/gateway/internal/answer_watch.h
@@ -15,8 +15,9 @@
 namespace basilhall::gateway
 {
 
-// Watches one call at a time. The limit counts from when the event loop was last late: before, the
-// request may not have been sent, and its answer may have arrived unread. Not thread-safe.
+// Watches one call at a time. Time in which the event loop is late does not count: the request may
+// not have been sent, and its answer may have arrived unread. A loop that is always late delays the
+// end to twice the limit and its own delays. Not thread-safe.
 class AnswerWatch
 {
 public:
