A late host tells streams of no program apart, and sends turns that go on

Causes: (1) The share of refused first turns, and the spread of their retries, came from a hash of the program. Streams of no program all have the empty one: below a delay of 137 ms none was refused, above all, all with the same Retry-After. Their call id is taken now. (2) A turn whose time is under four loop delays was refused even if it goes on from a kept turn; after a final fault that counts as lost, also when the worker could not have ended it, and one stall of a second is enough for delays of 0.6 s. Ruled out: a shorter time limit for such turns, as the rule looks at whether an endpoint was reached. Such turns are no longer refused for the host's delay.

--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -105,13 +105,16 @@
 
     // Refuses what this host cannot serve in time, before any work is done for it: requests with
     // too little time left, and first turns of programs while the host is late with its own work.
+    // Turns that continue others are never refused.
     Result<void> admitByHostLoad(CallContext &context)
     {
         context.beginsProgram = beginsProgram(context);
         const Duration loopDelay = m_state.hostLoad().loopDelay();
-        const std::uint64_t hash = std::hash<std::string>()(context.call.program.value());
-        const bool isTooLate =
-            context.deadline - context.arrivedAt < hostload::minServiceTime(loopDelay);
+        const Call &call = context.call;
+        const std::uint64_t hash = std::hash<std::string>()(
+            call.program.isEmpty() ? call.id.value() : call.program.value());
+        const bool isTooLate = call.previousTurn.isEmpty()
+            && context.deadline - context.arrivedAt < hostload::minServiceTime(loopDelay);
         const bool isRefused = isTooLate
             || (context.beginsProgram
                 && hostload::refusesProgram(loopDelay, priorityOf(context), hash));
