--- a/basilhall/gateway/late_host_test.cpp
+++ b/basilhall/gateway/late_host_test.cpp
@@ -1,5 +1,8 @@
 // A host whose event loop is late must not take its peers for failed.
+#include "basilhall/gateway/gateway.pb.h"
 #include "basilhall/gateway/testing/mesh_fixture.h"
+#include "basilhall/transport/server_stream.h"
+#include "basilhall/transport/stream_server.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -9,7 +12,43 @@
 using namespace basilhall::gateway;
 using namespace basilhall::gateway::testing;
 
-BOOST_FIXTURE_TEST_SUITE(gateway_late_host, MeshFixture)
+namespace
+{
+
+// Sends updates, and answers nothing else.
+asio::awaitable<void> hang(std::shared_ptr<transport::ServerStream> stream)
+{
+    asio::steady_timer pause(co_await asio::this_coro::executor);
+    wire::Update update;
+    update.set_incarnation("hung-1");
+    while (true) {
+        if (stream->method() == "/updates" && !co_await stream->send(update.SerializeAsString())) {
+            co_return;
+        }
+        pause.expires_after(20ms);
+        (void)co_await pause.async_wait(kTuple);
+    }
+}
+
+struct LateHostFixture : MeshFixture {
+    // Keeps the event loop busy for `busy` after each pause of `idle`.
+    void beBusy(Duration busy, Duration idle)
+    {
+        load.expires_after(idle);
+        load.async_wait([this, busy, idle](boost::system::error_code error) {
+            if (!error) {
+                std::this_thread::sleep_for(busy);
+                beBusy(busy, idle);
+            }
+        });
+    }
+
+    asio::steady_timer load{context};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(gateway_late_host, LateHostFixture)
 
 // The writer has answered, but the answer is read after the time limit.
 BOOST_AUTO_TEST_CASE(recordsAreWrittenOnceThoughTheirAnswerIsReadLate)
@@ -38,4 +77,26 @@
     BOOST_TEST((weak->keeper.storeFailingFor() == Duration::zero()));
 }
 
+BOOST_AUTO_TEST_CASE(recordsDoNotWaitForAWriterThatHangsThoughTheHostIsOftenLate)
+{
+    transport::StreamServer hung(context.get_executor(), {"127.0.0.1", 0}, hang);
+    weak->mesh.setMembers(
+        {weak->mesh.member(),
+         {HostName("hung"), Incarnation("hung-1"), hung.address(), FailureDomain("a"), 400}});
+    flushUntil([this] { return weak->mesh.reachableCount() == 1 && !weak->mesh.isHolder(); });
+    beBusy(25ms, 30ms);
+    std::optional<Result<void>> kept;
+    const auto keepTurn = [&]() -> asio::awaitable<void> {
+        kept = co_await weak->keeper.keep(turn("t1"), 2s);
+    };
+    asio::co_spawn(context, keepTurn, asio::detached);
+    context.restart();
+    context.run_for(4s);
+    BOOST_TEST_REQUIRE(kept.has_value());
+    BOOST_TEST(kept->has_value());
+    BOOST_TEST(weak->calls > 0);
+    load.cancel();
+    hung.close();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
