--- a/basilhall/gateway/journal_reader.cpp
+++ b/basilhall/gateway/journal_reader.cpp
@@ -26,8 +26,8 @@
 namespace
 {
 
-// Maximum number of batches of one journal that are read concurrently. At most 2 s of batches, 25 a
-// second, follow the last ledger.
+// Maximum number of batches of one journal that are read concurrently. The batches of up to
+// LedgerSchedule::kMaxInterval, 25 a second, follow the last ledger.
 constexpr std::size_t kReadWindow = 8;
 // Maximum number of journals, and of batches of all chains, that are read concurrently.
 constexpr std::size_t kConcurrentReads = 32;
