--- a/basilhall/gateway/late_host_test.cpp
+++ b/basilhall/gateway/late_host_test.cpp
@@ -99,4 +99,33 @@
     hung.close();
 }
 
+// The home has granted the turn. If it is asked once more, it grants another one, and the budget
+// seems to be used up.
+BOOST_AUTO_TEST_CASE(turnIsAdmittedThoughTheAnswerOfItsHomeIsReadLate)
+{
+    connectWithLoadedHolder();
+    turns::TurnBudget asked;
+    asked.program = ProgramId("p");
+    asked.team = kTeam;
+    asked.budget = 1000;
+    asked.maxTokens = 10;
+    BOOST_TEST((admit(*weak, asked).value() == turns::Admission::Admitted));
+    const std::uint64_t before = strong->state.budgets().spent(asked.program);
+    std::optional<Result<turns::Admission>> admission;
+    const auto ask = [&]() -> asio::awaitable<void> {
+        admission = co_await weak->mesh.askHome(asked);
+    };
+    asio::co_spawn(context, ask, asio::detached);
+    context.restart();
+    while (strong->state.budgets().spent(asked.program) == before) {
+        context.run_one();
+    }
+    std::this_thread::sleep_for(1200ms);
+    while (!admission) {
+        context.run_one();
+    }
+    BOOST_TEST_REQUIRE(admission->has_value());
+    BOOST_TEST((admission->value() == turns::Admission::Admitted));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
