Peers: the time limit of no request counts while this host is late

Cause: sendRequest() ended a request after a time by the clock of this host, also if the answer waits unread: admissions, searches for turns and questions for streams were repeated or refused by late hosts, while the peer had done the work (a grant counts for 3 s). Ruled out: longer limits, which hold callers if the peer really hangs. Change: it uses AnswerWatch like requestKeep(), which was a copy of it otherwise and calls it again. A host that is always late waits for at most twice the limit and its own delays.

--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -527,7 +527,9 @@
                 }};
     }
 
-    // Sends one request and returns the reply, if it arrives within `timeout`.
+    // Sends one request and returns the reply, if it arrives within `timeout`. Time in which this
+    // host is late does not count: a peer must not do the work once more because its answer is read
+    // late.
     asio::awaitable<std::optional<std::string>> sendRequest(Address address, std::string method,
                                                             std::string request, Duration timeout)
     {
@@ -536,13 +538,9 @@
         if (!stream) {
             co_return std::nullopt;
         }
-        asio::steady_timer alarm(executor, timeout);
         const auto open = std::shared_ptr<transport::ClientStream>(std::move(stream).value());
-        alarm.async_wait([open](boost::system::error_code error) {
-            if (!error) {
-                open->cancel();
-            }
-        });
+        AnswerWatch watch(executor, timeout, [open] { open->cancel(); });
+        watch.onSent();
         auto message = co_await open->next();
         if (!message) {
             co_return std::nullopt;
@@ -1058,22 +1056,12 @@
         }
     }
 
-    // Time in which this host is late does not count: another gateway must not write records once
-    // more because their answer is read late.
     asio::awaitable<bool> requestKeep(Address address, std::string request, Duration timeout)
     {
-        auto stream = co_await client.open(std::move(address), kKeepMethod, std::move(request),
-                                           kPeerConnectTimeout);
-        if (!stream) {
-            co_return false;
-        }
-        const auto open = std::shared_ptr<transport::ClientStream>(std::move(stream).value());
-        AnswerWatch watch(executor, timeout, [open] { open->cancel(); });
-        watch.onSent();
-        const auto message = co_await open->next();
+        const auto message =
+            co_await sendRequest(std::move(address), kKeepMethod, std::move(request), timeout);
         wire::KeepReply reply;
-        const bool isParsed = message && message.value() && reply.ParseFromString(*message.value());
-        co_return isParsed &&reply.durable();
+        co_return message &&reply.ParseFromString(*message) && reply.durable();
     }
 
     // Returns the holders that may write the records of this gateway, in order of preference: those
