Transport: a process that was late itself reads before it closes a connection

Cause: the check for silence runs before the data that arrived meanwhile is read. Ruled out: a longer limit, which would delay the loss of a host that is cut off. Change: a check that is late by half a ping interval allows twice the limit; the next one on time judges what has been read. A pause of over 2.1 s still lets the peers close, which have heard nothing.

--- a/basilhall/transport/internal/session.cpp
+++ b/basilhall/transport/internal/session.cpp
@@ -153,7 +153,9 @@
         (void)co_await m_keepAliveTimer.async_wait(kTuple);
         const auto now = std::chrono::steady_clock::now();
         const bool isPingDue = now - m_lastPing >= m_keepAlive.pingInterval;
-        if (now - m_lastReceived >= m_keepAlive.silenceLimit) {
+        // What the peer has sent may wait unread if this check is late.
+        const bool isLate = now - m_keepAliveTimer.expiry() >= m_keepAlive.pingInterval / 2;
+        if (now - m_lastReceived >= m_keepAlive.silenceLimit * (isLate ? 2 : 1)) {
             close();
         } else if (!m_closed && m_side == Side::Client && isPingDue) {
             // Sent even while data arrives, since the server closes the connection of a client that
