Review: half of the gateways are not isolated, and a failed ledger is repeated soon

A survivor of two, or each half of a fleet cut in two, counted itself out and left removals to nobody for 18 s instead of 8 s. A ledger that could not be written was repeated only after the interval of its size. The first has no test of its own: the case of the isolated gateway holds as before.

--- a/basilhall/gateway/internal/holder_ranking_test.cpp
+++ b/basilhall/gateway/internal/holder_ranking_test.cpp
@@ -36,6 +36,7 @@
 std::vector<const Member *> pointers(const std::vector<Member> &members)
 {
     std::vector<const Member *> made;
+    made.reserve(members.size());
     for (const Member &member : members) {
         made.push_back(&member);
     }
--- a/basilhall/gateway/internal/ledger_schedule.h
+++ b/basilhall/gateway/internal/ledger_schedule.h
@@ -25,6 +25,9 @@
     bool isDue(Instant now) const { return now >= m_due; }
     void onWritten(std::size_t bytes, Instant now) { m_due = now + interval(bytes); }
 
+    // The write failed: the next one follows as if the ledger were small.
+    void onFailed(Instant now) { m_due = now + kMinInterval; }
+
     static Duration interval(std::size_t bytes)
     {
         const double sizes = static_cast<double>(bytes) / static_cast<double>(kSmallLedgerBytes);
--- a/basilhall/gateway/internal/ledger_schedule_test.cpp
+++ b/basilhall/gateway/internal/ledger_schedule_test.cpp
@@ -28,4 +28,13 @@
     BOOST_TEST((LedgerSchedule::interval(SIZE_MAX) == LedgerSchedule::kMaxInterval));
 }
 
+BOOST_AUTO_TEST_CASE(failedWriteOfALargeLedgerIsRepeatedSoon)
+{
+    LedgerSchedule schedule;
+    const Instant start{10s};
+    schedule.onWritten(SIZE_MAX, start);
+    schedule.onFailed(start + 500ms);
+    BOOST_TEST(schedule.isDue(start + 500ms + LedgerSchedule::kMinInterval));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/basilhall/gateway/membership.cpp
+++ b/basilhall/gateway/membership.cpp
@@ -299,7 +299,7 @@
 void Membership::removeSilentMembers(Duration silence)
 {
     const auto before = static_cast<Duration::rep>(d->mesh.reachableBefore());
-    const bool isIsolated = 2 * d->mesh.reachableCount() < d->mesh.memberCount();
+    const bool isIsolated = 2 * (d->mesh.reachableCount() + 1) < d->mesh.memberCount() + 1;
     const Duration takeover =
         kTakeoverDelay * (isIsolated ? kIsolatedTakeovers : std::min(before, kMaxTakeovers));
     for (const Member &member : d->mesh.silentMembers(silence + takeover)) {
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -152,6 +152,9 @@
                 if (!self->hasDurableLedger) {
                     self->answers.onAnswered();
                 }
+                if (!isDurable) {
+                    self->ledgerSchedule.onFailed(now());
+                }
                 if (isDurable) {
                     self->ledgerBatch = batch;
                     self->hasDurableLedger = true;
