--- a/basilhall/gateway/internal/answer_watch_test.cpp
+++ b/basilhall/gateway/internal/answer_watch_test.cpp
@@ -1,7 +1,8 @@
 #include "basilhall/gateway/internal/answer_watch.h"
 
+#include "basilhall/gateway/testing/busy_loop.h"
+
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 #include <optional>
 #include <thread>
@@ -14,20 +15,8 @@
 {
 
 struct WatchFixture {
-    // Keeps the event loop busy for `busy` after each pause of `idle`.
-    void beBusy(Duration busy, Duration idle)
-    {
-        load.expires_after(idle);
-        load.async_wait([this, busy, idle](boost::system::error_code error) {
-            if (!error) {
-                std::this_thread::sleep_for(busy);
-                beBusy(busy, idle);
-            }
-        });
-    }
-
     boost::asio::io_context context;
-    boost::asio::steady_timer load{context};
+    testing::BusyLoop load{context};
     int silences = 0;
     AnswerWatch watch{context.get_executor(), 50ms, [this] { ++silences; }};
 };
@@ -76,7 +65,7 @@
 // A peer that hangs must not hold the records of a busy host forever.
 BOOST_AUTO_TEST_CASE(callWithoutAnAnswerIsReportedThoughTheEventLoopIsOftenLate)
 {
-    beBusy(25ms, 15ms);
+    load.start(25ms, 15ms);
     watch.onSent();
     context.run_for(500ms);
     BOOST_TEST(silences == 1);
@@ -84,7 +73,7 @@
 
 BOOST_AUTO_TEST_CASE(callWithoutAnAnswerIsReportedThoughTheEventLoopIsAlwaysLate)
 {
-    beBusy(40ms, 0ms);
+    load.start(40ms, 0ms);
     watch.onSent();
     context.run_for(3s);
     BOOST_TEST(silences == 1);
--- a/basilhall/gateway/late_host_test.cpp
+++ b/basilhall/gateway/late_host_test.cpp
@@ -1,12 +1,12 @@
 // A host whose event loop is late must not take its peers for failed.
 #include "basilhall/gateway/gateway.pb.h"
+#include "basilhall/gateway/testing/busy_loop.h"
 #include "basilhall/gateway/testing/mesh_fixture.h"
 #include "basilhall/transport/server_stream.h"
 #include "basilhall/transport/stream_server.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <thread>
 
 using namespace basilhall;
 using namespace basilhall::gateway;
@@ -31,19 +31,7 @@
 }
 
 struct LateHostFixture : MeshFixture {
-    // Keeps the event loop busy for `busy` after each pause of `idle`.
-    void beBusy(Duration busy, Duration idle)
-    {
-        load.expires_after(idle);
-        load.async_wait([this, busy, idle](boost::system::error_code error) {
-            if (!error) {
-                std::this_thread::sleep_for(busy);
-                beBusy(busy, idle);
-            }
-        });
-    }
-
-    asio::steady_timer load{context};
+    BusyLoop load{context};
 };
 
 } // namespace
@@ -84,7 +72,7 @@
         {weak->mesh.member(),
          {HostName("hung"), Incarnation("hung-1"), hung.address(), FailureDomain("a"), 400}});
     flushUntil([this] { return weak->mesh.reachableCount() == 1 && !weak->mesh.isHolder(); });
-    beBusy(25ms, 30ms);
+    load.start(25ms, 30ms);
     std::optional<Result<void>> kept;
     const auto keepTurn = [&]() -> asio::awaitable<void> {
         kept = co_await weak->keeper.keep(turn("t1"), 2s);
@@ -95,7 +83,7 @@
     BOOST_TEST_REQUIRE(kept.has_value());
     BOOST_TEST(kept->has_value());
     BOOST_TEST(weak->calls > 0);
-    load.cancel();
+    load.stop();
     hung.close();
 }
 
