--- a/basilhall/turns/budget_ledger_test.cpp
+++ b/basilhall/turns/budget_ledger_test.cpp
@@ -251,7 +251,7 @@
     BOOST_TEST(successor.spent(kProgram) == 400U);
 }
 
-// A total that is not written anywhere cannot be used by a successor, so it limits nothing.
+// A ledger states the programs of its own journal only.
 BOOST_AUTO_TEST_CASE(summaryOfSomeProgramsLeavesTheOthersOut)
 {
     const ProgramId other("other");
