review: make the case of the reset independent of the speed of the machine

The programs also went on after a 402.

Uses six ids whose home and rival are the two gateways, shorter turns, and lines that end with the first 402.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,11 +11,15 @@
 from standin.engine import Engine  # noqa: E402
 from standin.fleet import Fleet, engine_service  # noqa: E402
 
-PROGRAMS = 12
-TURN_TOKENS = 10
-BUDGET = 5 * TURN_TOKENS
-# Clients ask for turns until they are told that the budget is spent, or for this number.
-MAX_TURNS = 30
+# The home of a program, and the gateway that replaces it, follow from a hash of its id. For about a
+# third of all ids, these are the two gateways whose connections are reset; these are some of them.
+PROGRAMS = ["01", "05", "07", "1e", "29", "2d"]
+# A step of an engine takes 1.08 ms; each event holds one token.
+TURN_TOKENS = 5
+EVENT_SECONDS = 0.00108
+# One turn before the reset, and as many in each line afterwards as are left then.
+LINE_TURNS = 4
+BUDGET = (1 + LINE_TURNS) * TURN_TOKENS
 
 CONFIGURATION = {
     "version": 1,
@@ -44,6 +48,7 @@
     def __init__(self, record):
         self.record = record
         self.tokens = {}
+        self.ended = set()
         self.sent = 0
 
     async def turn(self, gateway, program):
@@ -58,12 +63,13 @@
                 ("Api-Key", "key-of-bakers"),
                 ("X-Attempt-Id", attempt),
                 ("X-Program-Id", program),
-                ("X-Session-Id", program),
+                ("X-Session-Id", f"{program}{gateway.number}"),
                 ("X-Program-Deadline", "20000"),
                 ("X-Deadline-Remaining", "3000"),
                 ("X-Token-Budget", BUDGET),
                 ("X-Token-Usage", f"100,{TURN_TOKENS}"),
                 ("X-Model", "m"),
+                ("X-Prompt-Prefix", "5c1e07a2:100"),
             ],
             b"input",
         )
@@ -75,22 +81,26 @@
         )
         return answer.status
 
+    # A program ends with its first 402.
     async def turns(self, gateway, program, most, seconds):
         end = asyncio.get_running_loop().time() + seconds
         sent = 0
         while sent < most and asyncio.get_running_loop().time() < end:
+            if program in self.ended:
+                return
             status = await self.turn(gateway, program)
             if status == 402:
-                return
-            sent += 1
-            if status != 200:
-                await asyncio.sleep(0.2)
+                self.ended.add(program)
+            if status == 200:
+                sent += 1
+            else:
+                await asyncio.sleep(0.1)
 
 
 async def play(fleet, record):
     client = Client(record)
     first, second = fleet.gateways[0], fleet.gateways[1]
-    programs = [f"{i:014x}" for i in range(1, PROGRAMS + 1)]
+    programs = [id.zfill(14) for id in PROGRAMS]
     await asyncio.gather(*(client.turns(first, p, 1, 3) for p in programs))
     await asyncio.sleep(1.0)
     if case.has_trouble():
@@ -98,7 +108,7 @@
         fleet.network.reset(1, 2)
     # Each program has a line of turns at both gateways.
     await asyncio.gather(
-        *(client.turns(gateway, p, MAX_TURNS, 5.0) for p in programs for gateway in (first, second))
+        *(client.turns(gateway, p, LINE_TURNS, 5.0) for p in programs for gateway in (first, second))
     )
     broken = False
     for program in programs:
@@ -113,6 +123,6 @@
 
 
 FLEET = Fleet(
-    CONFIGURATION, [Engine(f"w{i}", "models", "kolkata-a", pause=0.002) for i in range(4)]
+    CONFIGURATION, [Engine(f"w{i}", "models", "kolkata-a", pause=EVENT_SECONDS) for i in range(4)]
 )
 case.main(FOLDER, FLEET, play)
--- a/review/standin/network.py
+++ b/review/standin/network.py
@@ -65,6 +65,8 @@
         """Resets the open connections between two hosts. New ones work."""
         pair = frozenset((one, other))
         for writer in self.connections.pop(pair, []):
+            if writer.is_closing():
+                continue
             # Without this, the end of the connection would be orderly.
             writer.get_extra_info("socket").setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
