review: streams do not go on at a version whose workers leave

Cause: a worker that leaves is taken out for all requests at once, also for the rest of a stream that only its version may go on with, though it serves for drain_timeout_ms more.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+exec python3 -B "$(dirname "$0")/case.py"
