--- a/basilhall/fleet/endpoint_directory.cpp
+++ b/basilhall/fleet/endpoint_directory.cpp
@@ -18,7 +18,7 @@
     for (const Endpoint &endpoint : listed) {
         present.emplace(endpoint.name, endpoint);
     }
-    m_lapsedNames.clear();
+    const std::unordered_map<EndpointName, Instant> lapsedBefore = std::exchange(m_lapsed, {});
     const bool isInGracePeriod = m_gracePeriodEnd && now < *m_gracePeriodEnd;
     if (!isInGracePeriod) {
         m_gracePeriodEnd.reset();
@@ -29,7 +29,8 @@
         }
         for (const auto &[name, endpoint] : m_endpoints) {
             if (!present.contains(name)) {
-                m_lapsedNames.push_back(name);
+                const auto before = lapsedBefore.find(name);
+                m_lapsed.emplace(name, before == lapsedBefore.end() ? now : before->second);
                 present.emplace(name, endpoint);
             }
         }
@@ -50,16 +51,17 @@
 void EndpointDirectory::set(const Endpoint &endpoint)
 {
     m_endpoints.insert_or_assign(endpoint.name, endpoint);
-    std::erase(m_lapsedNames, endpoint.name);
+    m_lapsed.erase(endpoint.name);
 }
 
 void EndpointDirectory::remove(const EndpointName &name, Instant now)
 {
     if (m_gracePeriodEnd && now < *m_gracePeriodEnd && m_endpoints.contains(name)) {
-        m_lapsedNames.push_back(name);
+        m_lapsed.try_emplace(name, now);
         return;
     }
     m_endpoints.erase(name);
+    m_lapsed.erase(name);
 }
 
 std::vector<EndpointName> EndpointDirectory::expire(Instant now)
@@ -68,10 +70,12 @@
         return {};
     }
     m_gracePeriodEnd.reset();
-    for (const EndpointName &name : m_lapsedNames) {
+    std::vector<EndpointName> dropped;
+    for (const auto &[name, knownAt] : std::exchange(m_lapsed, {})) {
         m_endpoints.erase(name);
+        dropped.push_back(name);
     }
-    return std::exchange(m_lapsedNames, {});
+    return dropped;
 }
 
 std::optional<Instant> EndpointDirectory::nextExpiry() const
@@ -83,13 +87,19 @@
 {
     std::vector<Endpoint> endpoints;
     for (const auto &[name, endpoint] : m_endpoints) {
-        if (std::find(m_lapsedNames.begin(), m_lapsedNames.end(), name) == m_lapsedNames.end()) {
+        if (!m_lapsed.contains(name)) {
             endpoints.push_back(endpoint);
         }
     }
     return endpoints;
 }
 
+std::optional<Duration> EndpointDirectory::removedFor(const EndpointName &name, Instant now) const
+{
+    const auto found = m_lapsed.find(name);
+    return found == m_lapsed.end() ? std::nullopt : std::optional(now - found->second);
+}
+
 const Endpoint *EndpointDirectory::find(const EndpointName &name) const
 {
     const auto found = m_endpoints.find(name);
--- a/basilhall/fleet/endpoint_directory.h
+++ b/basilhall/fleet/endpoint_directory.h
@@ -43,6 +43,11 @@
     std::optional<Instant> nextExpiry() const;
     // Returns the endpoints without those whose registration lapsed and may return.
     std::vector<Endpoint> registered() const;
+    // Time since this directory learnt that the registration was removed, for an endpoint that
+    // stays nevertheless; nothing for others.
+    std::optional<Duration> removedFor(const EndpointName &name, Instant now) const;
+    // Number of endpoints without a registration that stay.
+    std::size_t lapsedCount() const { return m_lapsed.size(); }
 
     const Endpoint *find(const EndpointName &name) const;
     const std::unordered_map<EndpointName, Endpoint> &endpoints() const { return m_endpoints; }
@@ -51,8 +56,9 @@
     Duration m_gracePeriod;
     std::optional<Instant> m_gracePeriodEnd;
     std::unordered_map<EndpointName, Endpoint> m_endpoints;
-    // Endpoints without a registration, dropped when the grace period ends.
-    std::vector<EndpointName> m_lapsedNames;
+    // Endpoints without a registration, dropped when the grace period ends, each with the time at
+    // which the removal became known.
+    std::unordered_map<EndpointName, Instant> m_lapsed;
 };
 
 } // namespace basilhall::fleet
--- a/basilhall/gateway/fleet_state.cpp
+++ b/basilhall/gateway/fleet_state.cpp
@@ -155,6 +155,11 @@
     return m_directory.find(name) != nullptr;
 }
 
+std::optional<Duration> FleetState::removedFor(const EndpointName &name, Instant now) const
+{
+    return m_directory.removedFor(name, now);
+}
+
 bool FleetState::markLeaving(const fleet::Endpoint &endpoint, Instant now)
 {
     const bool isFirst = m_leaving.add(endpoint.name, endpoint.startedAt, now);
--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -74,6 +74,11 @@
     // nullopt before the first list.
     std::optional<Instant> endpointsCurrentAt() const { return m_endpointsCurrentAt; }
     bool hasEndpoint(const EndpointName &name) const;
+    // Time since the removal of the registration became known, for an endpoint that may get work
+    // nevertheless because its registration may have lapsed in an outage; nothing for others.
+    std::optional<Duration> removedFor(const EndpointName &name, Instant now) const;
+    // Number of endpoints for which removedFor() returns a time.
+    std::size_t lapsedCount() const { return m_directory.lapsedCount(); }
     // The only version of the service that was registered in the last `span`; nullopt if there were
     // several, or if the list of endpoints is shorter known or not current.
     std::optional<std::string> onlyVersion(const std::string &service, Duration span,
--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -346,6 +346,9 @@
         context->sentAt = MonotonicClock().now();
         context->sendConditions =
             m_state.placement().onSent(endpoint.name, context->work, context->sentAt);
+        if (const auto age = m_state.removedFor(endpoint.name, context->sentAt)) {
+            m_log.sentToRemoved(*context, *age, m_state.endpointsCurrentAt());
+        }
         if (context->lastEvent) {
             m_log.continued(*context, endpoint, m_state.endpointsCurrentAt());
         }
--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -182,8 +182,14 @@
         }
         EndpointListing current = listing.value();
         current.graceLeft = std::max(current.graceLeft - document.age, Duration::zero());
+        const std::size_t lapsedBefore = state.lapsedCount();
         state.replaceEndpoints(current, now());
         state.noteEndpointsCurrent(now() - document.age);
+        if (current.graceLeft > Duration::zero() || state.lapsedCount() != lapsedBefore) {
+            log.info("Took a list of endpoints from a peer beside an outage of the object API.",
+                     Field("version", document.version), Field("age", document.age),
+                     Field("grace_left", current.graceLeft), Field("lapsed", state.lapsedCount()));
+        }
         if (!std::exchange(hasEndpointList, true)) {
             log.info("Fetched the endpoints from a peer.",
                      Field("listed", listing.value().endpoints.size()),
--- a/basilhall/gateway/internal/call_log.cpp
+++ b/basilhall/gateway/internal/call_log.cpp
@@ -37,6 +37,7 @@
     , m_held(registry.counter(Metric::SuspectsHeld))
     , m_hostLate(registry.counter(Metric::HostLateRefusals))
     , m_notContinued(registry.counter(Metric::StreamsNotContinued))
+    , m_sentToRemoved(registry.counter(Metric::SentToRemoved))
     , m_seconds(registry.quantile(Metric::CallSeconds, "request"))
     , m_firstSeconds(registry.quantile(Metric::FirstTokenSeconds))
 {
@@ -193,6 +194,16 @@
                Field("version", PublicText(endpoint.version)), Field("list_age", age));
 }
 
+void CallLog::sentToRemoved(const CallContext &context, Duration removedFor,
+                            std::optional<Instant> listedAt)
+{
+    m_sentToRemoved.add();
+    m_log.info("Sends a request to an endpoint whose registration was removed.",
+               Field("call", context.call.id), Field("endpoint", context.endpoint),
+               Field("removed_for", removedFor),
+               Field("list_age", context.sentAt - listedAt.value_or(context.sentAt)));
+}
+
 void CallLog::failed(const CallContext &context, const Error &error)
 {
     m_log.warning("Attempt failed.", Field("call", context.call.id),
--- a/basilhall/gateway/internal/call_log.h
+++ b/basilhall/gateway/internal/call_log.h
@@ -63,6 +63,10 @@
     // `listedAt`.
     void continued(const CallContext &context, const fleet::Endpoint &endpoint,
                    std::optional<Instant> listedAt);
+    // The request is sent to an endpoint whose registration is known to be removed since
+    // `removedFor`; the list of endpoints was current at `listedAt`.
+    void sentToRemoved(const CallContext &context, Duration removedFor,
+                       std::optional<Instant> listedAt);
     // An attempt failed; the request may have run.
     void failed(const CallContext &context, const Error &error);
     void finished(const CallContext &context, const Result<void> &outcome);
@@ -76,6 +80,7 @@
     metrics::Counter &m_held;
     metrics::Counter &m_hostLate;
     metrics::Counter &m_notContinued;
+    metrics::Counter &m_sentToRemoved;
     metrics::Quantile &m_seconds;
     metrics::Quantile &m_firstSeconds;
     std::uint64_t m_running = 0;
--- a/basilhall/metrics/metric.cpp
+++ b/basilhall/metrics/metric.cpp
@@ -32,6 +32,11 @@
         "Calls for the rest of a stream refused because it is unknown which version of the "
         "endpoints began it.",
         "Find the reason by the call in the log: see docs/OPERATIONS.md."},
+    MetricTraits{
+        SentToRemoved, "basilhall_calls_to_removed_endpoints_total", Counter, Entry, "calls", "",
+        "Calls sent to endpoints whose registration was removed and may have lapsed in an "
+        "outage of the object API.",
+        "A rise without an outage: a host keeps removed endpoints; see docs/OPERATIONS.md."},
     MetricTraits{CallsRunning, "basilhall_calls_running", Gauge, Entry, "calls", "",
                  "Calls taken up and not answered.",
                  "A steady rise: an endpoint or the object API is slow."},
--- a/basilhall/metrics/metric.h
+++ b/basilhall/metrics/metric.h
@@ -19,6 +19,7 @@
     CallsRefused,
     SuspectsHeld,
     StreamsNotContinued,
+    SentToRemoved,
     CallsRunning,
     CallSeconds,
     FirstTokenSeconds,
