--- a/basilhall/gateway/deferred_removal_test.cpp
+++ b/basilhall/gateway/deferred_removal_test.cpp
@@ -83,6 +83,24 @@
     BOOST_TEST(hasDropped(back + kRegistrationGrace));
 }
 
+// The gateways that write for this one may have lost the store alone.
+BOOST_AUTO_TEST_CASE(refusalsOfWritersDoNotDeferRemovalsAtAHostInTouch)
+{
+    state.noteEndpointsCurrent(kStart + 900ms);
+    state.noteReportedOutage(kStart + 800ms, kStart + 900ms);
+    state.removeEndpoint(kLeaves, kStart + 1s);
+    BOOST_TEST(hasDropped(kStart + 1s));
+}
+
+BOOST_AUTO_TEST_CASE(refusalsOfWritersDeferRemovalsIfNoHostReachesTheStore)
+{
+    state.noteEndpointsCurrent(kStart);
+    state.noteReportedOutage(kStart + 3s, kStart + 3s);
+    state.removeEndpoint(kLeaves, kStart + 3s);
+    BOOST_TEST(!hasDropped(kStart + 3s + kRegistrationGrace - 1ms));
+    BOOST_TEST(hasDropped(kStart + 3s + kRegistrationGrace));
+}
+
 // While the calls of this host fail, it cannot tell whether a registration has lapsed.
 BOOST_AUTO_TEST_CASE(outageThatThisHostSeesDefersRemovalsUntilItEnds)
 {
--- a/basilhall/gateway/fleet_state.cpp
+++ b/basilhall/gateway/fleet_state.cpp
@@ -87,12 +87,24 @@
 
 void FleetState::replaceEndpoints(const EndpointListing &listing, Instant now)
 {
-    if (listing.graceLeft > Duration::zero()) {
+    if (listing.graceLeft > Duration::zero() && !isListCurrent(now)) {
         m_directory.extendGracePeriod(now + listing.graceLeft);
     }
     replaceEndpoints(listing.endpoints, false, now);
 }
 
+void FleetState::noteReportedOutage(Instant at, Instant now)
+{
+    if (!isListCurrent(now)) {
+        m_directory.noteOutage(at);
+    }
+}
+
+bool FleetState::isListCurrent(Instant now) const
+{
+    return m_endpointsCurrentAt && now - *m_endpointsCurrentAt <= kMaxListAge;
+}
+
 void FleetState::setEndpoint(const fleet::Endpoint &endpoint, Instant now)
 {
     const fleet::Endpoint *before = m_directory.find(endpoint.name);
@@ -144,7 +156,7 @@
 std::optional<std::string> FleetState::onlyVersion(const std::string &service, Duration span,
                                                    Instant now) const
 {
-    if (!m_endpointsCurrentAt || now - *m_endpointsCurrentAt > kMaxListAge) {
+    if (!isListCurrent(now)) {
         return std::nullopt;
     }
     return m_versions.onlyVersion(service, m_directory.endpoints(), now - span);
--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -32,6 +32,10 @@
 // Registrations that lapsed while the store was unavailable are renewed within 2 s of its recovery;
 // the remainder covers the delivery of the change.
 inline constexpr Duration kRegistrationGrace = std::chrono::milliseconds(2200);
+// Registrations lapse after three missed heartbeats of 1.2 s, so the store must have been
+// unavailable for most of that time. A shorter failure, such as one late answer, must not keep the
+// registrations of endpoints that leave.
+inline constexpr Duration kStoreOutageThreshold = std::chrono::seconds(2);
 
 // The endpoints that the object API lists. Immutable value.
 struct EndpointListing {
@@ -58,18 +62,25 @@
 
     void replaceEndpoints(const std::vector<fleet::Endpoint> &listed, bool afterOutage,
                           Instant now);
-    // Records a store outage, during which registrations may lapse although their endpoints run.
-    void noteStoreOutage(Instant now) { m_directory.noteOutage(now); }
-    // Applies the list of a peer.
+    // Records a store outage that calls of this gateway have met, during which registrations may
+    // lapse although their endpoints run.
+    void noteStoreOutage(Instant at) { m_directory.noteOutage(at); }
+    // Records a store outage at `at` that other gateways have met. Ignored while the list of
+    // endpoints is current: then the store serves others, and registrations are renewed.
+    void noteReportedOutage(Instant at, Instant now);
+    // Applies the list of a peer. Its grace period counts like a reported outage.
     void replaceEndpoints(const EndpointListing &listing, Instant now);
     void setEndpoint(const fleet::Endpoint &endpoint, Instant now);
     void removeEndpoint(const EndpointName &name, Instant now);
     // Drops registrations that were not renewed within the grace period. Returns their number.
     std::size_t expireEndpoints(Instant now);
+    // When expireEndpoints() has to be called next, because removals are kept back until then.
+    std::optional<Instant> nextEndpointExpiry() const { return m_directory.nextExpiry(); }
     // The registered endpoints, to pass to a peer.
     EndpointListing endpointListing(Instant now) const;
     std::size_t endpointCount() const { return m_directory.endpoints().size(); }
-    // The list of endpoints was known to be complete and current at `at`.
+    // The list of endpoints was known to be complete and current at `at`: it came from a gateway
+    // that sees no outage of the store, or was made then.
     void noteEndpointsCurrent(Instant at) { m_endpointsCurrentAt = at; }
     // nullopt before the first list.
     std::optional<Instant> endpointsCurrentAt() const { return m_endpointsCurrentAt; }
@@ -119,6 +130,7 @@
     turns::BudgetLedger &budgets() { return m_budgets; }
 
 private:
+    bool isListCurrent(Instant now) const;
     void placeAll();
     void place(const fleet::Endpoint &endpoint);
 
--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -47,10 +47,6 @@
 constexpr std::uint64_t kLedgerFetchSteps = 64;
 constexpr Duration kLedgerLoadPause = std::chrono::milliseconds(200);
 constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
-// Registrations lapse after three missed heartbeats of 1.2 s, so the store must have been
-// unavailable for most of that time. A shorter failure, such as one late answer, must not keep the
-// registrations of endpoints that leave.
-constexpr Duration kStoreOutageThreshold = std::chrono::seconds(2);
 // The platform probes readiness once a second and removes a host after two failed probes.
 constexpr Duration kLoadBalancerDelay = std::chrono::milliseconds(2500);
 // Requests still running this long before the kill are aborted, so that the process can shut down
@@ -372,11 +368,7 @@
             self->mesh.flush();
             self->keeper.coverOvercounted();
             self->membership.dropUnsubscribed();
-            const std::optional<Instant> lastFailure = self->keeper.lastStoreFailure();
-            if (lastFailure && self->keeper.storeFailingFor() >= kStoreOutageThreshold) {
-                // The outage may have ended since.
-                self->state.noteStoreOutage(*lastFailure);
-            }
+            self->noteOutage();
             const std::size_t dropped = self->state.expireEndpoints(now());
             if (dropped > 0) {
                 self->log.info(
@@ -398,11 +390,36 @@
                                         : std::nullopt);
                 self->membership.removeSilentMembers();
             }
-            timer.expires_after(self->mesh.updateInterval());
+            timer.expires_after(self->untilMaintenance());
             (void)co_await timer.async_wait(kTuple);
         }
     }
 
+    // Keeps back removals of endpoints while the object API fails. The outage may have ended after
+    // the last failure.
+    void noteOutage()
+    {
+        const std::optional<Instant> lastFailure = keeper.lastStoreFailure();
+        if (!lastFailure || keeper.storeFailingFor() < kStoreOutageThreshold
+            || now() - *lastFailure >= kRegistrationGrace) {
+            return;
+        }
+        if (keeper.ownCallsFailingFor() >= kStoreOutageThreshold) {
+            state.noteStoreOutage(*lastFailure);
+        } else {
+            state.noteReportedOutage(*lastFailure, now());
+        }
+    }
+
+    // Removals that are kept back take effect on time.
+    Duration untilMaintenance() const
+    {
+        const Duration interval = mesh.updateInterval();
+        const std::optional<Instant> expiry = state.nextEndpointExpiry();
+        return expiry ? std::clamp<Duration>(*expiry - now(), Duration::zero(), interval)
+                      : interval;
+    }
+
     static asio::awaitable<void> monitorLoad(std::shared_ptr<Private> self)
     {
         asio::steady_timer timer(self->executor);
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -139,6 +139,8 @@
     bool knowsLedger = false;
     // The peer receives all changes from the object API.
     bool watchesStore = false;
+    // The object API fails at the peer, or did so a moment ago.
+    bool seesOutage = false;
     // Time of its last failure to make records of this gateway durable.
     std::optional<Instant> refusedRecordsAt;
     // Its last batches, each with the time of the update that stated it.
@@ -623,6 +625,7 @@
                                 && (!keeper.reader().mayMissSpending()
                                     || keeper.storeFailingFor() == Duration::zero()));
         update.set_watches_store(isWatchingStore);
+        update.set_sees_outage(seesOutage());
         for (const auto &[kind, version] : exchange.local()) {
             wire::DocumentVersion &entry = *update.add_documents();
             entry.set_kind(static_cast<std::uint32_t>(kind));
@@ -794,12 +797,25 @@
         co_return search->origin;
     }
 
-    // True if changes of the endpoints arrive here without a long delay.
+    // True while endpoints may be missing from the list because the object API fails here, or did
+    // so a moment ago.
+    bool seesOutage() const
+    {
+        const std::optional<Instant> lastFailure = keeper.lastStoreFailure();
+        const bool isFailing = lastFailure && keeper.storeFailingFor() >= kStoreOutageThreshold
+            && now() - *lastFailure < kRegistrationGrace;
+        const std::optional<Instant> graceEnd = state.nextEndpointExpiry();
+        return isFailing || (graceEnd && now() < *graceEnd);
+    }
+
+    // True if changes of the endpoints arrive here without a long delay, from a gateway for which
+    // the object API is available.
     bool isEndpointListLive() const
     {
-        return isWatchingStore
+        return (isWatchingStore && !seesOutage())
             || std::any_of(peers.begin(), peers.end(), [this](const auto &entry) {
-                   return entry.second->watchesStore && isReachable(*entry.second);
+                   const Peer &peer = *entry.second;
+                   return peer.watchesStore && !peer.seesOutage && isReachable(peer);
                });
     }
 
@@ -883,6 +899,7 @@
                 peer->isConnected = false;
                 peer->knowsLedger = false;
                 peer->watchesStore = false;
+                peer->seesOutage = false;
                 self->exchange.onPeerLost(peer->member.host);
                 self->log.warning("Lost a peer.", Field("peer", peer->member.host),
                                   Field("incarnation", peer->member.incarnation));
@@ -1046,6 +1063,7 @@
                                   {}});
             }
             peer->watchesStore = update.watches_store();
+            peer->seesOutage = update.sees_outage();
             DocumentVersions versions;
             for (const wire::DocumentVersion &entry : update.documents()) {
                 versions[static_cast<DocumentKind>(entry.kind())] = entry.version();
--- a/basilhall/gateway/peer_mesh_test.cpp
+++ b/basilhall/gateway/peer_mesh_test.cpp
@@ -115,6 +115,23 @@
     BOOST_TEST(weak->calls + middle->calls > 0);
 }
 
+// A list that lacks endpoints because the store was unavailable to its sender is not current.
+BOOST_AUTO_TEST_CASE(listIsCurrentOnlyIfAGatewayThatWatchesTheStoreSeesNoOutage)
+{
+    connect();
+    strong->mesh.setWatchingStore(true);
+    flushUntil([this] { return weak->state.endpointsCurrentAt().has_value(); });
+    // It keeps removed endpoints for the grace period.
+    strong->state.noteStoreOutage(MonotonicClock().now());
+    wait(20ms);
+    flushUntil([this, flushes = 0]() mutable { return ++flushes > 20; });
+    const auto current = weak->state.endpointsCurrentAt();
+    flushUntil([this, flushes = 0]() mutable { return ++flushes > 20; });
+    BOOST_TEST((weak->state.endpointsCurrentAt() == current));
+    middle->mesh.setWatchingStore(true);
+    flushUntil([&] { return weak->state.endpointsCurrentAt() > current; });
+}
+
 // What a list says of the time that is left, such as a grace period, counts from when it was made.
 BOOST_AUTO_TEST_CASE(fetchedDocumentStatesItsAge)
 {
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -756,6 +756,11 @@
     return std::max(d->storeFailures.failingFor(Private::now()), d->commitFailingFor());
 }
 
+Duration TurnKeeper::ownCallsFailingFor() const
+{
+    return d->storeFailures.failingFor(Private::now());
+}
+
 std::optional<Instant> TurnKeeper::lastStoreFailure() const
 {
     const std::optional<Instant> own = d->storeFailures.last();
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -120,8 +120,11 @@
 
     // False until setLoaded(): turns and budgets cannot be served yet.
     bool isLoaded() const;
-    // How long the object API has failed to accept records; zero if it accepts them.
+    // How long the object API has failed to accept records, here or at the gateways that write for
+    // this one; zero if it accepts them.
     Duration storeFailingFor() const;
+    // How long the calls of this gateway to the object API have been failing.
+    Duration ownCallsFailingFor() const;
     // The last call that showed this failure; nullopt if the object API accepts records.
     std::optional<Instant> lastStoreFailure() const;
     // False while neither the object API nor a peer accepts records.
