--- a/standin/platform/platform_store.cpp
+++ b/standin/platform/platform_store.cpp
@@ -248,6 +248,10 @@
                 (void)co_await exchange->respond(emptyAnswer(410));
                 co_return;
             }
+            if (fault == Fault::Silent) {
+                co_await forever(exchange);
+                co_return;
+            }
             json::array events = changesAfter(target.key.kind, since);
             const bool isOver = std::chrono::steady_clock::now() >= end;
             if ((!events.empty() && fault != Fault::SilentWatches) || isOver) {
--- a/standin/platform/platform_store.h
+++ b/standin/platform/platform_store.h
@@ -26,7 +26,7 @@
         Busy,
         // Writes are done and never answered.
         LosesAnswers,
-        // Nothing is read or answered.
+        // Nothing is read or answered, also not the watches in progress when it ends.
         Silent,
         // Watches hear nothing.
         SilentWatches,
