--- a/basilhall/gateway/fleet_state.cpp
+++ b/basilhall/gateway/fleet_state.cpp
@@ -186,6 +186,17 @@
     return endpoint.isLeaving || m_leaving.contains(endpoint);
 }
 
+void FleetState::expireSuspects(Instant now)
+{
+    for (const auto &[name, endpoint] : m_directory.endpoints()) {
+        m_crashes.onRegistered(name, endpoint.startedAt, now);
+        m_bodyCrashes.onRegistered(name, endpoint.startedAt, now);
+    }
+    m_crashes.expire(now);
+    m_bodyCrashes.expire(now);
+    m_families.expire(now);
+}
+
 Result<void> FleetState::admit(const TeamName &team, bool beginsProgram, Instant now)
 {
     const auto found = m_rates.find(team);
--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -123,6 +123,8 @@
     // The same for the single bodies of requests that crashes() knows by their family.
     suspects::CrashEvidence &bodyCrashes() { return m_bodyCrashes; }
     suspects::RequestFamilies &families() { return m_families; }
+    // Drops what is held against requests without confirmation, or for long.
+    void expireSuspects(Instant now);
     // Where the streams began that this gateway was told of.
     resumption::OriginTable &origins() { return m_origins; }
     const resumption::OriginTable &origins() const { return m_origins; }
--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -380,9 +380,7 @@
             }
             if (now() >= nextHousekeeping) {
                 nextHousekeeping = now() + kHousekeepingInterval;
-                self->state.crashes().expire(now());
-                self->state.bodyCrashes().expire(now());
-                self->state.families().expire(now());
+                self->state.expireSuspects(now());
                 self->keeper.expire(self->mesh.receivesAllTurns()
                                         && self->keeper.reader().hasLoadedTurns(),
                                     self->mesh.isHolder() && self->mesh.holderRank() == 0
--- a/basilhall/suspects/crash_evidence.cpp
+++ b/basilhall/suspects/crash_evidence.cpp
@@ -57,6 +57,17 @@
     }
 }
 
+void CrashEvidence::onRegistered(const EndpointName &name, WallMillis startedAt, Instant now)
+{
+    // A process of unknown start may be the registered one.
+    constexpr WallMillis kFirstKnownStart = 1;
+    for (auto at = m_byProcess.lower_bound({name, kFirstKnownStart});
+         at != m_byProcess.end() && at->first.name == name && at->first.startedAt < startedAt;
+         ++at) {
+        m_gone.try_emplace(at->first, now);
+    }
+}
+
 Suspicion CrashEvidence::suspicion(RequestKey key) const
 {
     Suspicion suspicion;
--- a/basilhall/suspects/crash_evidence.h
+++ b/basilhall/suspects/crash_evidence.h
@@ -2,10 +2,11 @@
 // peers saw it. Facts may be merged in any order and any number of times.
 //
 // A run whose connection breaks counts as an end of the process, until the process answers a
-// request that was sent later, or for kConfirmTime unless the process is known to be gone. Of the
-// requests that one end cut off, those that ran at the most ends are taken to have caused it, and
-// once one of them is held, it explains its ends for good. A complete run proves that the request
-// is sound.
+// request that was sent later, or for kConfirmTime unless the process is known to be gone: its
+// address refuses connections, its registration is removed, or a later process is registered. Of
+// the requests that one end cut off, those that ran at the most ends are taken to have caused it,
+// and once one of them is held, it explains its ends for good. A complete run proves that the
+// request is sound.
 //
 //     CrashEvidence evidence;
 //     evidence.onBroken(key, process, sentAt, now);
@@ -51,6 +52,9 @@
     void onRefused(const EndpointProcess &process, Instant now);
     // The registration of the endpoint has been removed.
     void onRemoved(const EndpointName &name, Instant now);
+    // The endpoint is registered with a process that started at `startedAt`, 0 if unknown: those
+    // that started before have ended.
+    void onRegistered(const EndpointName &name, WallMillis startedAt, Instant now);
 
     Suspicion suspicion(RequestKey key) const;
     std::size_t size() const { return m_requests.size(); }
--- a/basilhall/suspects/crash_evidence_test.cpp
+++ b/basilhall/suspects/crash_evidence_test.cpp
@@ -110,6 +110,23 @@
     BOOST_TEST(evidence.suspicion(kOne).ends == 2U);
 }
 
+// Endpoints that are back under their name before their registration lapses never lose it; the ends
+// were dropped one after the other, and the request ran again as if it were new.
+BOOST_AUTO_TEST_CASE(laterProcessOfTheEndpointConfirmsTheEnd)
+{
+    CrashEvidence evidence;
+    for (int i = 1; i <= 4; ++i) {
+        evidence.onBroken(kOne, process(i), kStart);
+    }
+    evidence.onBroken(kOne, process(5, 0), kStart);
+    evidence.onRegistered(process(1).name, 3000, kStart + 2s);
+    evidence.onRegistered(process(2).name, 1000, kStart + 2s);
+    evidence.onRegistered(process(3).name, 0, kStart + 2s);
+    evidence.onRegistered(process(5).name, 3000, kStart + 2s);
+    evidence.expire(kStart + CrashEvidence::kConfirmTime);
+    BOOST_TEST(evidence.suspicion(kOne).ends == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(mergedFactsAreTheSameInAnyOrderAndNumber)
 {
     const RequestFacts first{kOne, {{process(1), kStart, false}}, std::nullopt, kStart, false};
