--- a/basilhall/gateway/fleet_state.cpp
+++ b/basilhall/gateway/fleet_state.cpp
@@ -14,6 +14,10 @@
 constexpr double kReserveForPrograms = 0.4;
 // A list that is older may lack a version that already serves.
 constexpr Duration kMaxListAge = std::chrono::seconds(1);
+// An endpoint that begins to leave may get rests of streams for this time after the list was last
+// current without that. It serves for 2 s at least after the store has acknowledged that it leaves,
+// and a list that is current lacks the changes of 0.6 s at most.
+constexpr Duration kContinuationTime = std::chrono::milliseconds(1300);
 // Retry time for a team whose limit is 0.
 constexpr Duration kZeroRateRetry = std::chrono::seconds(5);
 
@@ -46,22 +50,28 @@
     }
     std::erase_if(
         m_rates, [&policy](const auto &entry) { return policy->findTeam(entry.first) == nullptr; });
-    placeAll();
+    placeAll(now);
     return true;
 }
 
-void FleetState::place(const fleet::Endpoint &endpoint)
+void FleetState::place(const fleet::Endpoint &endpoint, Instant now)
 {
     const fleet::Service *service = m_policy ? m_policy->findService(endpoint.service) : nullptr;
     fleet::Endpoint placed = endpoint;
     placed.isLeaving = isLeaving(endpoint);
+    const bool beginsToLeave =
+        placed.isLeaving && m_placement.isServing(endpoint.name, endpoint.startedAt);
     m_placement.setEndpoint(placed, service != nullptr ? service->engine : std::nullopt);
+    // Otherwise it may have begun to leave long ago.
+    if (beginsToLeave && isListCurrent(now)) {
+        m_placement.letContinue(endpoint.name, *m_endpointsCurrentAt + kContinuationTime);
+    }
 }
 
-void FleetState::placeAll()
+void FleetState::placeAll(Instant now)
 {
     for (const auto &[name, endpoint] : m_directory.endpoints()) {
-        place(endpoint);
+        place(endpoint, now);
     }
 }
 
@@ -82,7 +92,7 @@
         }
     }
     m_versions.begin(now);
-    placeAll();
+    placeAll(now);
 }
 
 void FleetState::replaceEndpoints(const EndpointListing &listing, Instant now)
@@ -112,7 +122,7 @@
         m_versions.onReplaced(*before, now);
     }
     m_directory.set(endpoint);
-    place(endpoint);
+    place(endpoint, now);
 }
 
 void FleetState::removeEndpoint(const EndpointName &name, Instant now)
@@ -176,7 +186,7 @@
 {
     const bool isFirst = m_leaving.add(endpoint.name, endpoint.startedAt, now);
     if (const fleet::Endpoint *registered = m_directory.find(endpoint.name)) {
-        place(*registered);
+        place(*registered, now);
     }
     return isFirst;
 }
--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -133,8 +133,8 @@
 
 private:
     bool isListCurrent(Instant now) const;
-    void placeAll();
-    void place(const fleet::Endpoint &endpoint);
+    void placeAll(Instant now);
+    void place(const fleet::Endpoint &endpoint, Instant now);
 
     Incarnation m_self;
     fleet::PolicyPtr m_policy;
--- a/basilhall/placement/placement.cpp
+++ b/basilhall/placement/placement.cpp
@@ -82,6 +82,7 @@
     if (isNew || isRestarted || state.engine != engine) {
         state.cache = PrefixCache(engine ? engine->cacheTokens : 0);
         state.suspendedUntil = Instant::min();
+        state.continuesUntil = Instant::min();
         state.pace = EndpointPace();
     }
     state.endpoint = endpoint;
@@ -105,11 +106,31 @@
     }
 }
 
+bool Placement::isServing(const EndpointName &name, WallMillis startedAt) const
+{
+    const auto found = m_states.find(name);
+    return found != m_states.end() && !found->second.endpoint.isLeaving
+        && found->second.endpoint.startedAt == startedAt;
+}
+
+void Placement::letContinue(const EndpointName &name, Instant until)
+{
+    const auto found = m_states.find(name);
+    if (found != m_states.end()) {
+        found->second.continuesUntil = until;
+    }
+}
+
 bool Placement::acceptsWork(const State &state, Instant now)
 {
     return !state.endpoint.isLeaving && now >= state.suspendedUntil;
 }
 
+bool Placement::acceptsRest(const State &state, Instant now)
+{
+    return state.endpoint.isLeaving && now < state.continuesUntil && now >= state.suspendedUntil;
+}
+
 const EngineModel &Placement::modelOf(const State &state) const
 {
     static const EngineModel initial;
@@ -163,6 +184,18 @@
 Placement::Choice Placement::choose(const Work &work, const std::set<EndpointName> &excluded,
                                     std::uint64_t randomBits, Instant now,
                                     const Queueing &queueing) const
+{
+    const Choice choice = chooseAmong(acceptsWork, work, excluded, randomBits, now, queueing);
+    // Only the version that began a stream can go on with it.
+    return choice.endpoint == nullptr && work.version
+        ? chooseAmong(acceptsRest, work, excluded, randomBits, now, queueing)
+        : choice;
+}
+
+Placement::Choice Placement::chooseAmong(bool (*accepts)(const State &, Instant), const Work &work,
+                                         const std::set<EndpointName> &excluded,
+                                         std::uint64_t randomBits, Instant now,
+                                         const Queueing &queueing) const
 {
     const auto found = m_byService.find(work.service);
     if (found == m_byService.end() || found->second.empty()) {
@@ -176,7 +209,7 @@
     for (std::size_t i = 0; i < names.size(); ++i) {
         const EndpointName &name = names[(i + randomBits) % names.size()];
         const State &state = m_states.at(name);
-        if (!acceptsWork(state, now) || excluded.contains(name)
+        if (!accepts(state, now) || excluded.contains(name)
             || (work.version && *work.version != state.endpoint.version)) {
             continue;
         }
--- a/basilhall/placement/placement.h
+++ b/basilhall/placement/placement.h
@@ -50,6 +50,11 @@
     void removeEndpoint(const EndpointName &name);
     // The endpoint gets no requests before `until`.
     void suspend(const EndpointName &name, Instant until);
+    // True if the process that started at `startedAt` is known and does not leave.
+    bool isServing(const EndpointName &name, WallMillis startedAt) const;
+    // The endpoint leaves, but until `until` the rest of a stream may go to it if no other endpoint
+    // of its version is left.
+    void letContinue(const EndpointName &name, Instant until);
 
     EndpointLimits &limits() { return m_limits; }
 
@@ -71,7 +76,8 @@
     };
     // Returns the endpoint of lowest cost, including the wait for its limit, that accepts work and
     // is not in `excluded`; none if there is no such endpoint. One for which the request would wait
-    // too long is chosen only if there is no other.
+    // too long is chosen only if there is no other, and one that leaves only for the rest of a
+    // stream that its version began.
     Choice choose(const Work &work, const std::set<EndpointName> &excluded,
                   std::uint64_t randomBits, Instant now, const Queueing &queueing) const;
     // For a request that does not wait.
@@ -140,6 +146,8 @@
         // Not sent to the peers yet.
         PaceSample pendingPace;
         Instant suspendedUntil = Instant::min();
+        // While it leaves; see letContinue().
+        Instant continuesUntil = Instant::min();
         bool hasLoadChange = false;
 
         Load totalLoad() const;
@@ -154,6 +162,11 @@
     double capacity(const State &state) const;
     void addPace(State &state, double ratio, Instant now);
     static bool acceptsWork(const State &state, Instant now);
+    static bool acceptsRest(const State &state, Instant now);
+    // Chooses among the endpoints for which `accepts` returns true.
+    Choice chooseAmong(bool (*accepts)(const State &, Instant), const Work &work,
+                       const std::set<EndpointName> &excluded, std::uint64_t randomBits,
+                       Instant now, const Queueing &queueing) const;
     // Requests that the endpoint can run at once, given its limit.
     std::uint64_t usableSlots(const State &state) const;
     void markLoadChanged(State &state);
--- a/basilhall/placement/placement_test.cpp
+++ b/basilhall/placement/placement_test.cpp
@@ -71,6 +71,34 @@
     BOOST_TEST(placement.choose(first, {}, 0, kNow + 1s).endpoint != nullptr);
 }
 
+// All endpoints of a version leave, but serve for some seconds: streams that it began were refused.
+BOOST_AUTO_TEST_CASE(leavingEndpointGetsTheRestOfAStreamIfNoOtherOfItsVersionIsLeft)
+{
+    fleet::Endpoint near = endpoint("near", "a");
+    fleet::Endpoint far = endpoint("far", "b");
+    near.version = "v1";
+    far.version = "v1";
+    near.isLeaving = true;
+    placement.setEndpoint(near, kEngine);
+    placement.setEndpoint(far, kEngine);
+    placement.letContinue(EndpointName("near"), kNow + 1s);
+    Work rest = first;
+    rest.version = "v1";
+    BOOST_TEST(choose(rest) == "far");
+    far.isLeaving = true;
+    placement.setEndpoint(far, kEngine);
+    BOOST_TEST(choose(rest) == "near");
+    BOOST_TEST(choose(first).empty());
+    rest.version = "v2";
+    BOOST_TEST(choose(rest).empty());
+    rest.version = "v1";
+    BOOST_TEST((placement.choose(rest, {}, 0, kNow + 1s).endpoint == nullptr));
+    // A later process of it that leaves is another one.
+    near.startedAt = 2;
+    placement.setEndpoint(near, kEngine);
+    BOOST_TEST(choose(rest).empty());
+}
+
 BOOST_AUTO_TEST_CASE(restartUnderTheSameNameClearsTheCache)
 {
     placement.onPeerUse({EndpointName("far"), first.prompt});
