--- a/basilhall/gateway/call_context.h
+++ b/basilhall/gateway/call_context.h
@@ -85,6 +85,8 @@
     bool isFailureAnswer = false;
     // Tokens of the program's budget are reserved for the turn.
     bool hasReservation = false;
+    // The turn is covered by records of its program's spending with this number or a higher one.
+    std::uint64_t coverNumber = 0;
     std::optional<Instant> firstEventAt;
 };
 
--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -611,9 +611,6 @@
         turn.maxTokens = call.maxOutputTokens;
         for (std::uint32_t round = 0; round < kAdmissionRounds; ++round) {
             turns::Admission admission = m_state.budgets().admit(turn, MonotonicClock().now());
-            if (admission == turns::Admission::Admitted) {
-                m_keeper.coverSoon(call.program);
-            }
             if (admission == turns::Admission::Elsewhere
                 || admission == turns::Admission::Orphaned) {
                 const auto asked = co_await m_askHome(turn);
@@ -627,6 +624,10 @@
             }
             if (admission == turns::Admission::Admitted) {
                 context->hasReservation = true;
+                if (m_state.budgets().home(call.program) == m_state.self()) {
+                    context->coverNumber = m_state.budgets().changeNumber(call.program);
+                    m_keeper.coverSoon(call.program);
+                }
                 co_return success();
             }
             if (admission == turns::Admission::Exhausted) {
@@ -650,6 +651,26 @@
             .withRetryAfter(kStoreRetry);
     }
 
+    // Waits until the spending of the turn is durable, so that no answered turn is forgotten with
+    // its home. The record is written while the turn runs; only short turns wait.
+    boost::asio::awaitable<void> awaitCover(std::shared_ptr<CallContext> context)
+    {
+        const ProgramId &program = context->call.program;
+        if (!context->hasReservation
+            || m_state.budgets().isCovered(program, context->coverNumber)) {
+            co_return;
+        }
+        const Duration left = std::max(timeLeft(*context), Duration::zero());
+        Result<void> covered =
+            Error(ErrorKind::StoreUnavailable, "neither store nor peers accept records");
+        if (m_keeper.canPersist()) {
+            covered = co_await m_keeper.cover(program, std::min(left, kEndCoverTimeout));
+        }
+        if (!covered) {
+            m_log.notCovered(*context, covered.error());
+        }
+    }
+
     void settleBudget(const CallContext &context)
     {
         if (context.hasReservation) {
@@ -830,6 +851,7 @@
         if (context->isFailureAnswer) {
             co_return success();
         }
+        co_await awaitCover(context);
         settleBudget(*context);
         context->hasReservation = false;
         if (context->route->keepsTurns) {
--- a/basilhall/gateway/internal/call_log.cpp
+++ b/basilhall/gateway/internal/call_log.cpp
@@ -204,6 +204,12 @@
                Field("list_age", context.sentAt - listedAt.value_or(context.sentAt)));
 }
 
+void CallLog::notCovered(const CallContext &context, const Error &error)
+{
+    m_log.warning("A turn ends before its spending is durable.", Field("call", context.call.id),
+                  Field("program", context.call.program), Field("reason", error));
+}
+
 void CallLog::failed(const CallContext &context, const Error &error)
 {
     m_log.warning("Attempt failed.", Field("call", context.call.id),
--- a/basilhall/gateway/internal/call_log.h
+++ b/basilhall/gateway/internal/call_log.h
@@ -67,6 +67,8 @@
     // `removedFor`; the list of endpoints was current at `listedAt`.
     void sentToRemoved(const CallContext &context, Duration removedFor,
                        std::optional<Instant> listedAt);
+    // A turn ends although its spending is not durable: the loss of this host would forget it.
+    void notCovered(const CallContext &context, const Error &error);
     // An attempt failed; the request may have run.
     void failed(const CallContext &context, const Error &error);
     void finished(const CallContext &context, const Result<void> &outcome);
--- a/basilhall/gateway/internal/route_choice.h
+++ b/basilhall/gateway/internal/route_choice.h
@@ -51,6 +51,8 @@
 inline constexpr std::size_t kPromptHeadBytes = 200;
 // Time for a budget record to become durable before the turn is refused.
 inline constexpr Duration kCoverTimeout = std::chrono::milliseconds(700);
+// Time for which the end of a turn waits for the record of its spending.
+inline constexpr Duration kEndCoverTimeout = std::chrono::milliseconds(700);
 // Maximum admission attempts per turn: enough for a record, a change of the home, and the answer.
 inline constexpr std::uint32_t kAdmissionRounds = 5;
 // Another gateway may still choose an endpoint this long after its registration has been removed.
--- a/basilhall/turns/budget_ledger.cpp
+++ b/basilhall/turns/budget_ledger.cpp
@@ -219,6 +219,19 @@
     return found == m_programs.end() ? Incarnation() : found->second.home;
 }
 
+std::uint64_t BudgetLedger::changeNumber(const ProgramId &program) const
+{
+    const auto found = m_programs.find(program);
+    return found == m_programs.end() ? 0 : found->second.changeNumber;
+}
+
+bool BudgetLedger::isCovered(const ProgramId &program, std::uint64_t number) const
+{
+    const auto found = m_programs.find(program);
+    return found == m_programs.end() || found->second.home != m_self
+        || found->second.durableNumber >= number;
+}
+
 void BudgetLedger::settle(const ProgramId &program, std::uint64_t maxTokens, std::uint64_t spent,
                           Instant now)
 {
--- a/basilhall/turns/budget_ledger.h
+++ b/basilhall/turns/budget_ledger.h
@@ -103,6 +103,12 @@
     bool knows(const ProgramId &program) const { return m_programs.contains(program); }
     // True if the program has no home, or its home has been lost.
     bool isOrphan(const ProgramId &program) const;
+    // Number of the last change of the program's amounts. A turn that has just been admitted here
+    // is covered by records of this number and higher ones.
+    std::uint64_t changeNumber(const ProgramId &program) const;
+    // True if a durable record of this home has at least the number, or another incarnation is the
+    // home: it counts the turns that it admits.
+    bool isCovered(const ProgramId &program, std::uint64_t number) const;
     // Records the end of a turn that was admitted with `maxTokens` and delivered `spent` tokens.
     void settle(const ProgramId &program, std::uint64_t maxTokens, std::uint64_t spent,
                 Instant now);
--- a/basilhall/turns/budget_ledger_test.cpp
+++ b/basilhall/turns/budget_ledger_test.cpp
@@ -50,6 +50,17 @@
     BOOST_TEST((admit(100) == Admission::Admitted));
 }
 
+BOOST_AUTO_TEST_CASE(turnIsCoveredByADurableRecordThatWasMadeAfterItsAdmission)
+{
+    const SpendReport before = ledger.record(kProgram);
+    BOOST_TEST((admit(400) == Admission::Admitted));
+    const std::uint64_t number = ledger.changeNumber(kProgram);
+    ledger.onDurable(before);
+    BOOST_TEST(!ledger.isCovered(kProgram, number));
+    ledger.onDurable(ledger.record(kProgram));
+    BOOST_TEST(ledger.isCovered(kProgram, number));
+}
+
 BOOST_AUTO_TEST_CASE(recordOfTurnsInFlightAllowsParallelTurns)
 {
     BOOST_TEST((admit(100) == Admission::Admitted));
