--- a/basilhall/gateway/internal/peer_requests.cpp
+++ b/basilhall/gateway/internal/peer_requests.cpp
@@ -39,7 +39,7 @@
                            std::function<void()> broadcastChanges,
                            std::function<JournalMarks()> journalMarks,
                            std::function<std::set<Incarnation>()> listedByHolder,
-                           ForwardTurn forwardTurn)
+                           ForwardTurn forwardTurn, ConfirmSpending confirmSpending)
     : m_state(state)
     , m_keeper(keeper)
     , m_log(std::move(log))
@@ -48,6 +48,7 @@
     , m_journalMarks(std::move(journalMarks))
     , m_listedByHolder(std::move(listedByHolder))
     , m_forwardTurn(std::move(forwardTurn))
+    , m_confirmSpending(std::move(confirmSpending))
 {
 }
 
@@ -131,6 +132,13 @@
                 break;
             }
         }
+        const Result<void> confirmed = co_await m_confirmSpending();
+        if (!confirmed) {
+            m_log.info("A turn is not admitted until the journals of other holders are read.",
+                       Field("program", turn.program), Field("reason", confirmed.error()));
+            reply.set_verdict(wire::ADMIT_VERDICT_UNSPECIFIED);
+            break;
+        }
         const bool isNewHome = budgets.knows(turn.program) && budgets.isOrphan(turn.program);
         const turns::Admission admission = budgets.grant(asker, turn, MonotonicClock().now());
         if (isNewHome) {
--- a/basilhall/gateway/internal/peer_requests.h
+++ b/basilhall/gateway/internal/peer_requests.h
@@ -2,7 +2,7 @@
 // where a stream began.
 //
 //     PeerRequests requests(state, keeper, log, receivesAllTurns, broadcastChanges, journalMarks,
-//                           listedByHolder, forwardTurn);
+//                           listedByHolder, forwardTurn, confirmSpending);
 //     co_await requests.serve(stream);
 #pragma once
 
@@ -39,17 +39,20 @@
     // Journals and the last known batch of each.
     using ForwardTurn =
         std::function<void(const journal::TurnKept &, const std::set<Incarnation> &)>;
+    using ConfirmSpending = std::function<boost::asio::awaitable<Result<void>>()>;
     using JournalMarks = std::map<Incarnation, std::uint64_t>;
 
     // `receivesAllTurns` returns true if this process receives every turn that any gateway keeps;
     // `broadcastChanges` sends pending changes to all peers immediately; `journalMarks` returns the
     // last known batch of each journal; `listedByHolder` returns the incarnations of all members,
     // or none if this gateway is no holder; `forwardTurn` sends a turn to the subscribers that are
-    // not in the set.
+    // not in the set; `confirmSpending` reads what others may have admitted as the home of programs
+    // of this gateway.
     PeerRequests(FleetState &state, TurnKeeper &keeper, logging::Log log,
                  std::function<bool()> receivesAllTurns, std::function<void()> broadcastChanges,
                  std::function<JournalMarks()> journalMarks,
-                 std::function<std::set<Incarnation>()> listedByHolder, ForwardTurn forwardTurn);
+                 std::function<std::set<Incarnation>()> listedByHolder, ForwardTurn forwardTurn,
+                 ConfirmSpending confirmSpending);
 
     // Answers one request. Drops malformed and unknown requests with a log line.
     boost::asio::awaitable<void> serve(std::shared_ptr<transport::ServerStream> stream);
@@ -71,6 +74,7 @@
     std::function<JournalMarks()> m_journalMarks;
     std::function<std::set<Incarnation>()> m_listedByHolder;
     ForwardTurn m_forwardTurn;
+    ConfirmSpending m_confirmSpending;
 };
 
 } // namespace basilhall::gateway
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -6,6 +6,7 @@
 #include "basilhall/gateway/internal/answer_watch.h"
 #include "basilhall/gateway/internal/holder_ranking.h"
 #include "basilhall/gateway/internal/peer_requests.h"
+#include "basilhall/gateway/internal/shared_reads.h"
 #include "basilhall/gateway/internal/suspect_codec.h"
 #include "basilhall/gateway/internal/turn_finder.h"
 #include "basilhall/gateway/internal/update_codec.h"
@@ -59,6 +60,9 @@
 constexpr Duration kMaxSilence = std::chrono::milliseconds(1000);
 // Time limit for the home of a program to make a record durable and answer.
 constexpr Duration kAdmitTimeout = std::chrono::milliseconds(900);
+// Interval between reads of the journals of holders that are not connected. Turns wait for the next
+// read, and each costs billed calls.
+constexpr Duration kRivalReadInterval = std::chrono::milliseconds(100);
 // Time limit for a peer to answer from memory; the round trip takes a few milliseconds.
 constexpr Duration kRequestTimeout = std::chrono::milliseconds(400);
 // Time limit for a peer to state where a stream began; it answers from memory.
@@ -168,7 +172,9 @@
               [this] { return isHolder ? liveIncarnations() : std::set<Incarnation>(); },
               [this](const journal::TurnKept &turn, const std::set<Incarnation> &announcedTo) {
                   announce(turn, announcedTo);
-              })
+              },
+              [this] { return confirmSpending(weak_from_this()); })
+        , rivalReads(e, kRivalReadInterval, [this] { return readPartedHolders(weak_from_this()); })
         , client(e, kKeepAlive)
         , exchange(self.failureDomain)
         , random(std::hash<std::string>()(self.incarnation.value()))
@@ -346,28 +352,40 @@
         return member.failureDomain == self.failureDomain && HolderRanking::outranks(member, self);
     }
 
-    // True if other holders may run, but none is connected: they may have become the homes of the
-    // programs of this one.
-    bool isPartedFromHolders() const
+    // True if another holder may run that is not connected: it may act as the home of programs of
+    // this one.
+    bool mayHaveRival() const
     {
-        bool isAnyRegistered = false;
+        bool isAnyConnected = false;
         for (const auto &[host, peer] : peers) {
             if (isHolderAmong(peer->member)) {
-                isAnyRegistered = true;
-                if (peer->isConnected) {
-                    return false;
+                if (!peer->isConnected) {
+                    return isHolder;
                 }
+                isAnyConnected = true;
             }
         }
-        return isHolder && (isAnyRegistered || keeper.reader().hasOpenJournals());
+        return isHolder && !isAnyConnected && keeper.reader().hasOpenJournals();
     }
 
-    void updateMustConfirm() { state.budgets().setMustConfirm(isPartedFromHolders()); }
+    void updateMustConfirm() { state.budgets().setMustConfirm(mayHaveRival()); }
+
+    // Before this gateway admits a turn for a peer: reads what rivals have admitted.
+    static asio::awaitable<Result<void>> confirmSpending(std::weak_ptr<Private> weak)
+    {
+        const std::shared_ptr<Private> self = weak.lock();
+        if (!self || !self->mayHaveRival()) {
+            co_return success();
+        }
+        co_return co_await self->rivalReads.read();
+    }
 
     // Reads what other holders have admitted since they are not connected.
-    static asio::awaitable<Result<void>> readPartedHolders(std::shared_ptr<Private> self)
+    static asio::awaitable<Result<void>> readPartedHolders(std::weak_ptr<Private> weak)
     {
-        if (!self->keeper.canPersist() || self->keeper.storeFailingFor() > Duration::zero()) {
+        const std::shared_ptr<Private> self = weak.lock();
+        if (!self || !self->keeper.canPersist()
+            || self->keeper.storeFailingFor() > Duration::zero()) {
             co_return Error(ErrorKind::StoreUnavailable,
                             "the object API is unavailable, so journals cannot be read");
         }
@@ -1113,6 +1131,7 @@
     DocumentHandler onDocument;
     MemberHandler onMember;
     PeerRequests requests;
+    SharedReads rivalReads;
     transport::StreamClient client;
     std::optional<TurnFinder> finder;
     std::unique_ptr<transport::StreamServer> server;
@@ -1406,7 +1425,8 @@
 {
     const auto self = d;
     const std::vector<std::shared_ptr<Peer>> writers = self->writers();
-    if (writers.empty()) {
+    // A rival reads the journal of this gateway to learn what it has admitted.
+    if (writers.empty() || self->mayHaveRival()) {
         co_return CommitOutcome::WriteLocally;
     }
     const std::string request = keepRequest(std::move(records), self->announcedTo());
@@ -1455,7 +1475,7 @@
 {
     const auto self = d;
     if (self->state.budgets().home(turn.program) == self->self.incarnation) {
-        const Result<void> read = co_await Private::readPartedHolders(self);
+        const Result<void> read = co_await self->rivalReads.read();
         if (!read) {
             co_return read.error();
         }
--- a/basilhall/gateway/peer_mesh_test.cpp
+++ b/basilhall/gateway/peer_mesh_test.cpp
@@ -285,4 +285,44 @@
     BOOST_TEST(successor.state.budgets().spent(ProgramId("p")) >= 100U);
 }
 
+// Two gateways that had lost each other both acted as the home of a program: each was connected to
+// a third holder, and so read no journals.
+BOOST_AUTO_TEST_CASE(holderThatIsNotConnectedMayBeTheHomeToo)
+{
+    const auto third = makeWriter();
+    MeshNode rival(context, objects, "rival", 300, "c");
+    rival.keeper.setLoaded();
+    rival.keeper.setLedgerKnown();
+    Member unreachable = rival.mesh.member();
+    unreachable.address.port = 1;
+    strong->mesh.setMembers({third->mesh.member(), unreachable});
+    third->mesh.setMembers({strong->mesh.member(), unreachable});
+    runCoroutine(context, [&]() -> asio::awaitable<void> {
+        asio::steady_timer pause(context);
+        while (strong->mesh.reachableCount() + third->mesh.reachableCount() < 2) {
+            pause.expires_after(5ms);
+            (void)co_await pause.async_wait(kTuple);
+        }
+    });
+    rival.mesh.flush();
+    for (const auto &node : {strong, third}) {
+        node->mesh.flush();
+    }
+    const turns::TurnBudget asked{ProgramId("p"), kTeam, 1000, 400};
+    strong->state.budgets().claim(asked.program, MonotonicClock().now());
+    rival.state.budgets().claim(asked.program, MonotonicClock().now());
+    for (int i = 0; i < 2; ++i) {
+        BOOST_TEST((admit(rival, asked).value() == turns::Admission::Admitted));
+        runCoroutine(context, [&]() -> asio::awaitable<void> {
+            const Result<void> covered = co_await rival.keeper.cover(asked.program, 2s);
+            BOOST_TEST(covered.has_value());
+        });
+    }
+    BOOST_TEST((admit(*strong, asked).value() == turns::Admission::Exhausted));
+    // Also for a turn of a peer.
+    strong->mesh.flush();
+    wait(50ms);
+    BOOST_TEST((askHome(*third, asked).value() == turns::Admission::Exhausted));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
