A host that stood still, is cut off or knows of a newer list does not trust its list of endpoints (ORDER)

Callers that name none are served while one version is known, and that could be wrong: a host that wakes took its list for current because its own watch had not failed, or because a message that had waited in its sockets seemed to be new; so did a host that was cut off, until its keep-alive ended the connections.

Change: a list is current only if another gateway is reachable (or there is none) and no peer states a newer version; after a standstill of more than a second, what arrives is not taken for current for a second.

--- a/basilhall/gateway/document_exchange.cpp
+++ b/basilhall/gateway/document_exchange.cpp
@@ -74,6 +74,12 @@
     }
 }
 
+bool DocumentExchange::isBehind(DocumentKind kind) const
+{
+    const auto newer = m_newer.find(kind);
+    return newer != m_newer.end() && !newer->second.empty();
+}
+
 Duration DocumentExchange::delay(DocumentKind kind, const Peer &peer, bool isWatching) const
 {
     if (localVersion(kind) == 0) {
--- a/basilhall/gateway/document_exchange.h
+++ b/basilhall/gateway/document_exchange.h
@@ -47,6 +47,8 @@
     void onPeerVersions(const HostName &peer, const FailureDomain &domain,
                         const DocumentVersions &versions, Instant now);
     void onPeerLost(const HostName &peer);
+    // True if a peer states a newer version than that of this gateway.
+    bool isBehind(DocumentKind kind) const;
 
     // Returns the fetches to begin now, at most one for each kind that is not being fetched.
     // `isWatching` if this gateway receives registrations from the object API itself; it then
--- a/basilhall/gateway/document_exchange_test.cpp
+++ b/basilhall/gateway/document_exchange_test.cpp
@@ -43,6 +43,19 @@
     BOOST_TEST(due(kNow + 10s).empty());
 }
 
+BOOST_AUTO_TEST_CASE(documentIsBehindWhileAPeerStatesANewerVersion)
+{
+    exchange.setLocal(DocumentKind::Endpoints, 5);
+    exchange.onPeerVersions(kPeer, kRemote, {{DocumentKind::Endpoints, 6}}, kNow);
+    BOOST_TEST(exchange.isBehind(DocumentKind::Endpoints));
+    BOOST_TEST(!exchange.isBehind(DocumentKind::Members));
+    exchange.setLocal(DocumentKind::Endpoints, 6);
+    BOOST_TEST(!exchange.isBehind(DocumentKind::Endpoints));
+    exchange.onPeerVersions(kPeer, kRemote, {{DocumentKind::Endpoints, 7}}, kNow);
+    exchange.onPeerLost(kPeer);
+    BOOST_TEST(!exchange.isBehind(DocumentKind::Endpoints));
+}
+
 BOOST_AUTO_TEST_CASE(versionThatIsOvertakenDuringItsFetchIsNotApplied)
 {
     exchange.setLocal(DocumentKind::Members, 5);
--- a/basilhall/gateway/fleet_state.cpp
+++ b/basilhall/gateway/fleet_state.cpp
@@ -14,6 +14,8 @@
 constexpr double kReserveForPrograms = 0.4;
 // A list that is older may lack a version that already serves.
 constexpr Duration kMaxListAge = std::chrono::seconds(1);
+// Time in which a host that stood still reads what its peers and the store have sent meanwhile.
+constexpr Duration kCatchUpTime = std::chrono::seconds(1);
 // An endpoint that begins to leave may get rests of streams for this time after the list was last
 // current without that. It serves for 2 s at least after the store has acknowledged that it leaves,
 // and a list that is current lacks the changes of 0.6 s at most.
@@ -163,6 +165,27 @@
             graceEnd && now < *graceEnd ? *graceEnd - now : Duration::zero()};
 }
 
+void FleetState::noteEndpointsCurrent(Instant at)
+{
+    checkStandstill(at);
+    if (at >= m_listUnsureUntil) {
+        m_endpointsCurrentAt = at;
+    }
+}
+
+void FleetState::onTick(Instant now)
+{
+    checkStandstill(now);
+    m_lastTickAt = now;
+}
+
+void FleetState::checkStandstill(Instant now)
+{
+    if (m_lastTickAt && now - *m_lastTickAt > kMaxListAge) {
+        m_listUnsureUntil = now + kCatchUpTime;
+    }
+}
+
 std::optional<std::string> FleetState::onlyVersion(const std::string &service, Duration span,
                                                    Instant now) const
 {
--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -81,7 +81,10 @@
     std::size_t endpointCount() const { return m_directory.endpoints().size(); }
     // The list of endpoints was known to be complete and current at `at`: it came from a gateway
     // that sees no outage of the store, or was made then.
-    void noteEndpointsCurrent(Instant at) { m_endpointsCurrentAt = at; }
+    // Ignored for a moment after this host stood still: what arrives then may have waited here.
+    void noteEndpointsCurrent(Instant at);
+    // Called several times a second, so that a standstill of this host is noticed.
+    void onTick(Instant now);
     // nullopt before the first list.
     std::optional<Instant> endpointsCurrentAt() const { return m_endpointsCurrentAt; }
     bool hasEndpoint(const EndpointName &name) const;
@@ -133,6 +136,7 @@
 
 private:
     bool isListCurrent(Instant now) const;
+    void checkStandstill(Instant now);
     void placeAll(Instant now);
     void place(const fleet::Endpoint &endpoint, Instant now);
 
@@ -140,6 +144,9 @@
     fleet::PolicyPtr m_policy;
     fleet::EndpointDirectory m_directory;
     std::optional<Instant> m_endpointsCurrentAt;
+    std::optional<Instant> m_lastTickAt;
+    // The list may be that of before a standstill of this host.
+    Instant m_listUnsureUntil = Instant::min();
     fleet::VersionHistory m_versions;
     fleet::LeavingEndpoints m_leaving;
     placement::Placement m_placement;
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -827,18 +827,24 @@
     }
 
     // True if changes of the endpoints arrive here without a long delay, from a gateway for which
-    // the object API is available.
+    // the object API is available, and none is known to be missing. A gateway that reaches no other
+    // may be cut off from the object API, too.
     bool isEndpointListLive() const
     {
-        return (isWatchingStore && !seesOutage())
-            || std::any_of(peers.begin(), peers.end(), [this](const auto &entry) {
-                   const Peer &peer = *entry.second;
-                   return peer.watchesStore && !peer.seesOutage && isReachable(peer);
-               });
+        bool isAnyReachable = peers.empty();
+        bool isAnyWatching = isWatchingStore && !seesOutage();
+        for (const auto &[host, peer] : peers) {
+            if (isReachable(*peer)) {
+                isAnyReachable = true;
+                isAnyWatching = isAnyWatching || (peer->watchesStore && !peer->seesOutage);
+            }
+        }
+        return isAnyReachable && isAnyWatching && !exchange.isBehind(DocumentKind::Endpoints);
     }
 
     void flush()
     {
+        state.onTick(now());
         if (isEndpointListLive()) {
             state.noteEndpointsCurrent(now());
         }
