--- a/basilhall/gateway/peer_mesh_test.cpp
+++ b/basilhall/gateway/peer_mesh_test.cpp
@@ -124,9 +124,9 @@
     // It keeps removed endpoints for the grace period.
     strong->state.noteStoreOutage(MonotonicClock().now());
     wait(20ms);
-    flushUntil([this, flushes = 0]() mutable { return ++flushes > 20; });
+    flushUntil([flushes = 0]() mutable { return ++flushes > 20; });
     const auto current = weak->state.endpointsCurrentAt();
-    flushUntil([this, flushes = 0]() mutable { return ++flushes > 20; });
+    flushUntil([flushes = 0]() mutable { return ++flushes > 20; });
     BOOST_TEST((weak->state.endpointsCurrentAt() == current));
     middle->mesh.setWatchingStore(true);
     flushUntil([&] { return weak->state.endpointsCurrentAt() > current; });
