--- a/review/kit2/store.py
+++ b/review/kit2/store.py
@@ -25,9 +25,7 @@
         # A function of (method, kind, name) that returns None, "busy", "silent" or "lost".
         self.fault = lambda method, kind, name: None
         handler = type("Handler", (_Handler,), {"store": self})
-        ThreadingHTTPServer.request_queue_size = 128
-        self.server = ThreadingHTTPServer(("127.0.0.1", 0), handler)
-        self.server.daemon_threads = True
+        self.server = _Server(("127.0.0.1", 0), handler)
         self.address = "127.0.0.1:%d" % self.server.server_address[1]
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
@@ -127,6 +125,14 @@
     }
 
 
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+
+    def handle_error(self, request, client_address):
+        """A connection ended: its gateway was killed."""
+
+
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
