--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A kept turn whose stream the client takes up again after its gateway was killed."""
+"""An answer without a length that is reset during its long upload."""
 
 import os
 import sys
@@ -9,125 +9,128 @@
 from deployment import *  # noqa: E402,F403
 
 ZONES = ("kolkata-a", "howrah-b", "salt-lake-c")
-EVENTS = 12
-TAKEN_BEFORE_KILL = 5
-PAUSE_S = 0.1
-INPUTS = [b"input of turn 1;", b"input of turn 2;"]
-
-
-def data_of(number):
-    return b"part %d of what the engine said" % number
-
-
-def event(number):
-    return b"id: %d\ndata: %s\n\n" % (number, data_of(number))
-
-
-def ids_in(body):
-    return [int(line[4:]) for line in body.split(b"\n") if line.startswith(b"id: ")]
+ANSWER = b"".join(b"booking line %03d\n" % i for i in range(47))[:800]
+SENT_BEFORE_RESET = 300
+# Half of max_body_bytes.
+LONG_BODY = 2 * 1024 * 1024
+SMALL_REQUESTS = 300
+LONG_REQUESTS = 15
+# garble: share (.5) of the workers break off x (.02) of their answers.
+BROKEN_PART = 0.02
+BREAKING_WORKERS = {"i-0"}
+
+
+class Counts:
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.answers = {}
+        self.broken = {}
+
+    def may_break(self, name):
+        """Counts one answer of the worker; True if this one may be broken off."""
+        with self.lock:
+            self.answers[name] = self.answers.get(name, 0) + 1
+            broken = self.broken.get(name, 0) + 1
+            if name in BREAKING_WORKERS and broken <= BROKEN_PART * self.answers[name]:
+                return True
+            return False
+
+    def note_broken(self, name):
+        with self.lock:
+            self.broken[name] = self.broken.get(name, 0) + 1
 
 
 def main():
     record = Record(FOLDER)
-    runs = []
+    counts = Counts()
+    runs = {}
 
     def serve(worker, sock):
         rest = b""
         while True:
-            got = read_request(sock, rest)
-            if got is None:
+            head = read_head(sock, rest)
+            if head is None:
                 return
-            request, rest = got
-            if worker.answer_plain(sock, request) or worker.is_misdirected(sock, request):
+            line, headers, rest = head
+            method, target, _ = line.split(" ")
+            attempt = headers.get("x-attempt-id", "")
+            length = int(headers.get("content-length", 0))
+            request = Request(method, target, headers, b"", False)
+            if length < LONG_BODY:
+                while len(rest) < length:
+                    part = sock.recv(65536)
+                    if not part:
+                        return
+                    rest += part
+                rest = rest[length:]
+                if worker.answer_plain(sock, request) or worker.is_misdirected(sock, request):
+                    continue
+                counts.may_break(worker.name)
+                sock.sendall(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: s-%s\r\n"
+                             b"Content-Length: %d\r\n\r\n%s"
+                             % (attempt.encode(), attempt.encode(), len(ANSWER), ANSWER))
                 continue
-            attempt = request.header("X-Attempt-Id")
-            last = int(request.header("Last-Event-Id") or 0)
-            runs.append((attempt, request.body))
-            record("%s runs %s after event %d with the body %r"
-                   % (worker.name, attempt, last, request.body))
+            if worker.is_misdirected(sock, request):
+                return
+            # Answers before the long body is in. The answer has no length and ends with its
+            # connection.
+            breaks = counts.may_break(worker.name) and TROUBLE
             sock.sendall(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: s-%s\r\n"
-                         b"X-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
-                         b"Transfer-Encoding: chunked\r\n\r\n" % (attempt.encode(), attempt.encode()))
-            for number in range(last + 1, EVENTS + 1):
-                time.sleep(PAUSE_S)
-                sock.sendall(b"%x\r\n%s\r\n" % (len(event(number)), event(number)))
-            sock.sendall(b"0\r\n\r\n")
+                         b"Content-Type: text/plain\r\n\r\n%s"
+                         % (attempt.encode(), attempt.encode(), ANSWER[:SENT_BEFORE_RESET]))
+            if breaks:
+                time.sleep(0.3)
+                counts.note_broken(worker.name)
+                runs[attempt] = "reset after %d of %d bytes" % (SENT_BEFORE_RESET, len(ANSWER))
+                record("%s runs %s and resets its connection after %d of the %d bytes of its answer"
+                       % (worker.name, attempt, SENT_BEFORE_RESET, len(ANSWER)))
+                reset(sock)
+                return
+            left = length - len(rest)
+            while left > 0:
+                part = sock.recv(262144)
+                if not part:
+                    return
+                left -= len(part)
+            runs[attempt] = "whole"
+            record("%s runs %s and answers all %d bytes" % (worker.name, attempt, len(ANSWER)))
+            sock.sendall(ANSWER[SENT_BEFORE_RESET:])
+            return
 
     deployment = Deployment(
-        policy([route("chat", "engines", "streaming", retains_context=True, resumable=True)],
-               [service("engines", True)]),
-        ZONES,
+        policy([route("book", "desk", "non_idempotent")], [service("desk")]), ZONES
     )
-    fields = {"X-Program-Id": "3fa81c", "X-Session-Id": "77d20b", "X-Program-Deadline": "20000",
-              "X-Token-Usage": "20,300", "X-Token-Budget": "100000", "X-Model": "m"}
-
-    def turn(gateway, body, **more):
-        headers = {**fields, **{k.replace("_", "-"): v for k, v in more.items()}}
-        attempt = new_id()
-        answer = call(gateway.listen, request_bytes("POST", "/chat/x", body, headers, attempt))
-        record("client sent %s to %s with %s and got %s, events %s"
-               % (attempt, gateway.name, more, answer, ids_in(answer.body)))
-        return attempt, answer
-
-    def until_promise_ends(gateway, body, **more):
-        """Sends again after a promise that the request has not run."""
-        deadline = time.monotonic() + 10
-        while True:
-            attempt, answer = turn(gateway, body, **more)
-            if answer.status not in (429, 503) or time.monotonic() > deadline:
-                return attempt, answer
-            time.sleep(0.2)
-
     try:
         for i, zone in enumerate(ZONES):
-            deployment.add_worker(Worker("i-%d" % i, "engines", zone, serve))
+            worker = Worker("i-%d" % i, "desk", zone, serve)
+            # Segments and a window as on a network, so that the upload waits until the worker reads.
+            worker.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32768)
+            worker.listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
+            deployment.add_worker(worker)
         deployment.start()
         time.sleep(2)
-        first, second, _ = deployment.gateways
-        attempt = new_id()
-        with connect(first.listen) as sock:
-            sock.settimeout(10)
-            sock.sendall(request_bytes("POST", "/chat/x", INPUTS[0], fields, attempt))
-            if TROUBLE:
-                seen = b""
-                while seen.count(b"\n\r\n") < TAKEN_BEFORE_KILL:
-                    part = sock.recv(4096)
-                    if not part:
-                        raise CannotRun("the first stream ended early: %r" % seen)
-                    seen += part
-                first.process.kill()
-                first.process.wait()
-                taken = max(ids_in(seen.replace(b"\r\n", b"\n")))
-                record("client sent %s to %s, got events up to %d; %s is killed"
-                       % (attempt, first.name, taken, first.name))
-            else:
-                answer = read_answer(sock)
-                record("client sent %s to %s and got %s" % (attempt, first.name, answer))
-                if answer.status != 200 or answer.end != "whole":
-                    raise CannotRun("the first turn failed: %s" % answer)
-        if TROUBLE:
-            time.sleep(0.2)
-            attempt, answer = until_promise_ends(second, INPUTS[0], Last_Event_Id=str(taken),
-                                                 Resumes=attempt)
-            if answer.status != 200 or answer.end != "whole":
-                raise CannotRun("the stream could not be taken up: %s" % answer)
-            if ids_in(answer.body) != list(range(taken + 1, EVENTS + 1)):
-                raise CannotRun("the rest of the stream is not whole")
-            first.start()
-        # The turn has ended: the client has all of its events. The next turn names its last attempt.
-        following, answer = until_promise_ends(second, INPUTS[1], X_Previous_Turn=attempt)
-        said = b"".join(data_of(n) + b"\n" for n in range(1, EVENTS + 1))
-        expected = INPUTS[0] + said + INPUTS[1]
-        bodies = [body for run, body in runs if run == following]
-        if not bodies:
-            record("the next turn ran nowhere: %s" % answer)
-            raise CannotRun("the next turn ran nowhere: %s" % answer)
-        for body in bodies:
-            if body != expected:
-                record("UNASKED: the body is not the chain's inputs and outputs; expected %r"
-                       % expected)
-                return 1
-        return 0
+        for i in range(SMALL_REQUESTS):
+            answer = call(deployment.gateways[i % 3].listen,
+                          request_bytes("POST", "/book/x", b"a small booking"))
+            if answer.status != 200 or answer.body != ANSWER:
+                record("small request %d: %s" % (i, answer))
+        broken = 0
+        for i in range(LONG_REQUESTS):
+            attempt = new_id()
+            answer = call(deployment.gateways[i % 3].listen,
+                          request_bytes("POST", "/book/x", b"b" * LONG_BODY, attempt=attempt))
+            record("client sent %s with %d bytes and got %s, signature %s; the run: %s"
+                   % (attempt, LONG_BODY, answer, answer.headers.get("x-response-signature"),
+                      runs.get(attempt)))
+            is_success = answer.status == 200 and answer.end == "whole"
+            if is_success and answer.body != ANSWER:
+                broken += 1
+                record("MIXED: a success with %d of the %d bytes of the worker's body"
+                       % (len(answer.body), len(ANSWER)))
+        if TROUBLE and not counts.broken:
+            raise CannotRun("no answer to a long request was broken off")
+        record("answers %s, broken off %s" % (counts.answers, counts.broken))
+        return 1 if broken else 0
     finally:
         deployment.close()
 
--- a/review/kit2/deployment.py
+++ b/review/kit2/deployment.py
@@ -397,7 +397,8 @@
         return "%016x" % ((int(time.time() * 1000) << 16) + _number[0])
 
 
-def request_bytes(method, target, body=b"", headers=None, attempt=None, length=None):
+def request_bytes(method, target, body=b"", headers=None, attempt=None, length=None,
+                  encoding="ascii"):
     fields = {"Host": HOST, "X-Attempt-Id": attempt or new_id(), "X-Deadline-Remaining": "3000",
               "Api-Key": KEY}
     fields.update(headers or {})
@@ -405,7 +406,7 @@
         fields["Content-Length"] = str(len(body) if length is None else length)
     head = "%s %s HTTP/1.1\r\n" % (method, target)
     head += "".join("%s: %s\r\n" % item for item in fields.items() if item[1] is not None)
-    return head.encode() + b"\r\n" + body
+    return head.encode(encoding) + b"\r\n" + body
 
 
 class Answer:
