Kept turns: bound the content in memory, tell holders where turns are stored

Holders could not drop turns of others either: only the writer knew which batch contains a turn.

Change: the content in memory is bounded (kept_turn_memory, 24 MiB), the least recently used is dropped first. Updates to holders name the batches in which turns have become durable, so that every holder can read them, also after the loss of the writer. What is not durable, or is being read for a chain, is pinned; chains are read while they hold a quarter of the bound. While 4 MiB wait to become durable, no further kept turn begins: 503, not run.

--- a/basilhall/gateway/fleet_state.cpp
+++ b/basilhall/gateway/fleet_state.cpp
@@ -32,6 +32,7 @@
     , m_directory(kRegistrationGrace)
     , m_evacuations(m_traits.evacuationBound.has_value())
     , m_placement(m_traits.ownDomain)
+    , m_turns(m_traits.keptTurnMemory)
     , m_budgets(std::move(self))
 {
     m_placement.setColdTolerance(m_traits.coldOvershoot, m_traits.coldTolerance);
--- a/basilhall/gateway/fleet_traits.cpp
+++ b/basilhall/gateway/fleet_traits.cpp
@@ -8,7 +8,8 @@
 FleetTraits fleetTraits(const settings::GatewaySettings &settings)
 {
     return {settings.failureDomain, settings.evacuationBound, settings.regions,
-            settings.coldOvershoot, settings.coldTolerance,   settings.limitsWarmEndpoints};
+            settings.coldOvershoot, settings.coldTolerance,   settings.limitsWarmEndpoints,
+            settings.keptTurnMemory};
 }
 
 } // namespace basilhall::gateway
--- a/basilhall/gateway/fleet_traits.h
+++ b/basilhall/gateway/fleet_traits.h
@@ -5,8 +5,10 @@
 
 #include "basilhall/base/identifier.h"
 #include "basilhall/base/time.h"
+#include "basilhall/turns/turn_table.h"
 
 #include <compare>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -32,6 +34,8 @@
     double coldTolerance = 0;
     // Endpoints that may become cold without notice are limited while they are warm, too.
     bool limitsWarmEndpoints = false;
+    // Bytes of kept turns that are held in memory.
+    std::size_t keptTurnMemory = turns::kDefaultContentBytes;
 
     auto operator<=>(const FleetTraits &) const = default;
 };
--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -589,6 +589,13 @@
                     .withNotRun()
                     .withRetryAfter(kStoreRetry);
             }
+            if (!m_keeper.acceptsTurns()) {
+                co_return Error(ErrorKind::Overloaded,
+                                "too many turns that have ended wait until the store accepts their "
+                                "records")
+                    .withNotRun()
+                    .withRetryAfter(kStoreRetry);
+            }
             auto prompt =
                 co_await m_keeper.prompt(context->call.previousTurn, teamOf(*context), input);
             if (!prompt) {
@@ -856,6 +863,8 @@
         if (context->isFailureAnswer) {
             co_return success();
         }
+        // The prompt is not sent again, and the end of the turn may wait for long.
+        context->body = std::string();
         co_await awaitCover(context);
         settleBudget(*context);
         context->hasReservation = false;
--- a/basilhall/gateway/internal/peer_requests.cpp
+++ b/basilhall/gateway/internal/peer_requests.cpp
@@ -207,7 +207,7 @@
     co_return reply.SerializeAsString();
 }
 
-asio::awaitable<void> PeerRequests::readContent(turns::TurnId id)
+asio::awaitable<JournalReader::ChainContent> PeerRequests::readContent(turns::TurnId id)
 {
     const auto missing = m_state.turns().missing(id);
     // The peer reads what hosts of this failure domain may not hold itself.
@@ -215,10 +215,12 @@
         && std::all_of(missing->begin(), missing->end(), [this](const turns::StoredTurn &stored) {
                              return m_state.mayHold(stored.allowedRegions);
                          });
-    if (mayRead && !missing->empty()) {
-        // The reason is logged. Without the content, the turn exists, but is not part of the reply.
-        (void)co_await m_keeper.reader().readChain(id);
+    if (!mayRead || missing->empty()) {
+        co_return nullptr;
     }
+    // The reason is logged. Without the content, the turn exists, but is not part of the reply.
+    const auto content = co_await m_keeper.reader().readChain(id);
+    co_return content ? content.value() : nullptr;
 }
 
 asio::awaitable<std::string> PeerRequests::turn(std::string request)
@@ -230,7 +232,7 @@
     const turns::TurnId id(message.turn_id());
     wire::TurnReply reply;
     reply.set_incarnation(m_state.self().value());
-    co_await readContent(id);
+    JournalReader::ChainContent content = co_await readContent(id);
     if (!m_state.turns().hasWholeChain(id)) {
         JournalReader &reader = m_keeper.reader();
         const bool isComplete =
@@ -238,7 +240,7 @@
         // The members may have changed meanwhile. A turn of which only a part of the chain is known
         // exists.
         reply.set_complete(isComplete && m_receivesAllTurns() && !m_state.turns().isKept(id));
-        co_await readContent(id);
+        content = co_await readContent(id);
     }
     if (m_state.turns().hasWholeChain(id)) {
         for (const turns::KeptTurn &kept : m_state.turns().chain(id)) {
--- a/basilhall/gateway/internal/peer_requests.h
+++ b/basilhall/gateway/internal/peer_requests.h
@@ -8,6 +8,7 @@
 
 #include "basilhall/gateway/fleet_state.h"
 #include "basilhall/gateway/internal/home_candidacy.h"
+#include "basilhall/gateway/journal_reader.h"
 #include "basilhall/gateway/turn_keeper.h"
 #include "basilhall/logging/log.h"
 
@@ -70,8 +71,9 @@
     boost::asio::awaitable<std::string> admit(std::string request,
                                               std::shared_ptr<const bool> isAbandoned);
     boost::asio::awaitable<std::string> turn(std::string request);
-    // Reads the content of the chain that is stored, but not known.
-    boost::asio::awaitable<void> readContent(turns::TurnId id);
+    // Reads the content of the chain that is stored, but not known; nullptr if there is none, or it
+    // cannot be read.
+    boost::asio::awaitable<JournalReader::ChainContent> readContent(turns::TurnId id);
     std::string ledger() const;
     std::string stream(const std::string &request) const;
     std::string lend(const std::string &request);
--- a/basilhall/gateway/internal/update_codec.cpp
+++ b/basilhall/gateway/internal/update_codec.cpp
@@ -3,6 +3,7 @@
 #include "basilhall/gateway/gateway.pb.h"
 #include "basilhall/gateway/internal/suspect_codec.h"
 #include "basilhall/gateway/record_codec.h"
+#include "basilhall/gateway/turn_index.h"
 
 #include <algorithm>
 
@@ -78,6 +79,10 @@
     for (const journal::TurnKept &turn : update.turns()) {
         state.turns().add(fromRecord(turn));
     }
+    for (const wire::StoredTurn &turn : update.stored_turns()) {
+        const IndexedTurn stored = fromWire(from, turn);
+        state.turns().addStored(stored.id, stored.stored);
+    }
     for (const wire::WithheldTurn &turn : update.withheld_turns()) {
         // It is unknown where it is stored.
         state.turns().addStored(turns::TurnId(turn.turn_id()),
--- a/basilhall/gateway/journal_reader.cpp
+++ b/basilhall/gateway/journal_reader.cpp
@@ -40,6 +40,11 @@
 // Pause after a failed read. Calls within it fail at once, so that requests are refused instead of
 // waiting for one time limit of the object API after the other.
 constexpr Duration kFailedReadPause = std::chrono::milliseconds(500);
+// Maximum number of chains whose content is read concurrently.
+constexpr std::size_t kConcurrentChains = 32;
+// Part of the memory for kept turns that chains which are being read may use before further chains
+// wait. The rest is for the batches that are on their way.
+constexpr std::size_t kChainMemoryPart = 4;
 
 } // namespace
 
@@ -54,6 +59,7 @@
         , chainReads(
               e, access, [this](const store::Object &object) { addTurns(object); },
               kConcurrentReads)
+        , chainEnded(e)
         , refreshed(e)
     {
     }
@@ -92,18 +98,17 @@
         co_return success();
     }
 
-    // Adds a turn of a batch. If hosts of this failure domain may not hold it, adds only where it
-    // is stored.
+    // Adds a turn of a batch, and its content if there is room and hosts of this failure domain may
+    // hold it.
     void addTurn(const journal::TurnKept &record, const journal::Batch &batch)
     {
         turns::KeptTurn turn = fromRecord(record);
-        if (state.mayHold(turn.allowedRegions)) {
-            state.turns().add(std::move(turn));
-            return;
-        }
         state.turns().addStored(turn.id,
                                 {Incarnation(batch.incarnation()), batch.number(), turn.previous,
                                  turn.keptUntil, turn.allowedRegions});
+        if (state.mayHold(turn.allowedRegions) && state.turns().hasRoomFor(turn)) {
+            state.turns().add(std::move(turn));
+        }
     }
 
     // Returns the journal and the number of the batch.
@@ -448,7 +453,45 @@
         }
     }
 
-    static asio::awaitable<Result<void>> readChain(std::shared_ptr<Private> self, turns::TurnId id)
+    // One more chain may be read. What has been read of the others stays in memory until their
+    // prompts are made.
+    bool hasRoomForChain() const
+    {
+        return runningChains == 0
+            || (runningChains < kConcurrentChains
+                && state.turns().pinnedBytes()
+                    <= state.turns().maxContentBytes() / kChainMemoryPart);
+    }
+
+    ChainContent pinChain(const turns::TurnId &id)
+    {
+        ++runningChains;
+        return {new turns::PinnedTurns(state.turns(), state.turns().chainIds(id)),
+                [weak = weak_from_this()](const turns::PinnedTurns *pinned) {
+                    delete pinned;
+                    if (const auto self = weak.lock()) {
+                        --self->runningChains;
+                        self->chainEnded.notify();
+                    }
+                }};
+    }
+
+    static asio::awaitable<Result<ChainContent>> readChain(std::shared_ptr<Private> self,
+                                                           turns::TurnId id)
+    {
+        while (!self->hasRoomForChain()) {
+            co_await self->chainEnded.wait();
+        }
+        ChainContent content = self->pinChain(id);
+        const Result<void> read = co_await readMissing(self, std::move(id));
+        if (!read) {
+            co_return read.error();
+        }
+        co_return content;
+    }
+
+    static asio::awaitable<Result<void>> readMissing(std::shared_ptr<Private> self,
+                                                     turns::TurnId id)
     {
         const auto missing = self->state.turns().missing(id);
         if (!missing) {
@@ -602,6 +645,9 @@
     BatchReads chainReads;
     // The turns of the chains that are being read.
     std::multiset<turns::TurnId> wanted;
+    // Number of chains whose content is being read or used.
+    std::size_t runningChains = 0;
+    transport::Signal chainEnded;
     // The unread journals that may contain unknown spending: their writers are lost, or were
     // reported by a peer.
     std::set<Incarnation> unreadSpending;
@@ -648,7 +694,7 @@
     co_return done;
 }
 
-asio::awaitable<Result<void>> JournalReader::readChain(turns::TurnId id)
+asio::awaitable<Result<JournalReader::ChainContent>> JournalReader::readChain(turns::TurnId id)
 {
     const auto self = d;
     co_return co_await Private::readChain(self, std::move(id));
--- a/basilhall/gateway/journal_reader.h
+++ b/basilhall/gateway/journal_reader.h
@@ -13,6 +13,7 @@
 #include "basilhall/gateway/store_access.h"
 #include "basilhall/logging/log.h"
 #include "basilhall/store/object_key.h"
+#include "basilhall/turns/pinned_turns.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -46,9 +47,13 @@
     // turns to this one; the journals of others become open, unless a later process runs on their
     // host.
     boost::asio::awaitable<Result<void>> loadTurns(RunningGateways running);
+    // Keeps the content of a chain in memory, and lets others be read once it is destroyed.
+    using ChainContent = std::shared_ptr<const turns::PinnedTurns>;
+
     // Reads the turns of the chain that ends with `id` whose content is unknown, no other batches.
-    // NotFound if it is unknown where one of them is stored.
-    boost::asio::awaitable<Result<void>> readChain(turns::TurnId id);
+    // Waits while too much content of other chains is being read. NotFound if it is unknown where
+    // one of the turns is stored.
+    boost::asio::awaitable<Result<ChainContent>> readChain(turns::TurnId id);
     // Reads the unread batches of the unread and of the open journals. The read starts after the
     // call. Fails at once if the last read has just failed.
     boost::asio::awaitable<Result<void>> refresh();
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -185,14 +185,13 @@
             }
         });
         self->subscribers.insert(subscriber);
-        subscriber->queue.push_back(self->firstUpdate());
+        subscriber->send(self->firstUpdate(subscriber->failureDomain));
         while (!subscriber->isCancelled) {
             if (subscriber->queue.empty()) {
                 co_await subscriber->wake.wait();
                 continue;
             }
-            const auto message = subscriber->queue.front();
-            subscriber->queue.pop_front();
+            const auto message = subscriber->takeFirst();
             const Result<void> sent = co_await stream->send(*message);
             if (!sent) {
                 break;
@@ -249,7 +248,7 @@
             co_return;
         }
         noteCandidacy(peer->member.incarnation, request.candidacy());
-        const Result<void> sent = co_await stream->send(*firstUpdate());
+        const Result<void> sent = co_await stream->send(*firstUpdate(peer->member.failureDomain));
         if (sent) {
             (void)co_await stream->finish();
         }
@@ -699,9 +698,23 @@
         return update;
     }
 
-    std::shared_ptr<const std::string> firstUpdate()
+    // Adds the places of the turns that hosts of the failure domain may hold.
+    void addStored(wire::Update &update, const std::vector<IndexedTurn> &stored,
+                   const FailureDomain &domain) const
+    {
+        for (const IndexedTurn &turn : stored) {
+            const std::vector<std::string> &allowed = turn.stored.allowedRegions;
+            if (allowed.empty() || state.regions().allows(allowed, domain)) {
+                *update.add_stored_turns() = toWire(turn);
+            }
+        }
+    }
+
+    std::shared_ptr<const std::string> firstUpdate(const FailureDomain &domain)
     {
         wire::Update update = newUpdate();
+        // It states a batch that the next regular update has not announced yet.
+        addStored(update, keeper.storedTurns(), domain);
         update.set_durable_batch(keeper.durableBatch());
         // Its journal may contain records of peers, too.
         update.set_kept_no_turn(!keeper.hasKeptTurns() && keeper.durableBatch() == 0);
@@ -740,11 +753,26 @@
         return incarnations;
     }
 
+    // Sends a regular update; to the gateways that store all turns, with the places of those that
+    // have become durable.
     void broadcast(const wire::Update &update)
     {
+        using Message = std::shared_ptr<const std::string>;
         const auto message = std::make_shared<const std::string>(update.SerializeAsString());
+        const std::vector<IndexedTurn> stored = keeper.takeStoredTurns();
+        std::map<FailureDomain, Message> withTurns;
         for (const auto &subscriber : subscribers) {
-            subscriber->send(message);
+            if (stored.empty() || !subscriber->wantsTurns) {
+                subscriber->send(message);
+                continue;
+            }
+            Message &own = withTurns[subscriber->failureDomain];
+            if (!own) {
+                wire::Update complete = update;
+                addStored(complete, stored, subscriber->failureDomain);
+                own = std::make_shared<const std::string>(complete.SerializeAsString());
+            }
+            subscriber->send(own);
         }
     }
 
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -4,6 +4,7 @@
 #include "basilhall/gateway/internal/answer_watch.h"
 #include "basilhall/gateway/internal/appended_turns.h"
 #include "basilhall/gateway/internal/batch_size.h"
+#include "basilhall/gateway/internal/buffered_bytes.h"
 #include "basilhall/gateway/internal/call_failures.h"
 #include "basilhall/gateway/internal/commit_failures.h"
 #include "basilhall/gateway/internal/durability_waits.h"
@@ -20,6 +21,7 @@
 #include "basilhall/journal/batch_codec.h"
 #include "basilhall/journal/writer.h"
 #include "basilhall/metrics/registry.h"
+#include "basilhall/turns/pinned_turns.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -67,6 +69,10 @@
 constexpr Duration kCoverBatchDelay = std::chrono::milliseconds(20);
 // Programs without a turn for this time are dropped. Longer than the retention of turns.
 constexpr Duration kProgramRetention = std::chrono::minutes(5);
+// Content of turns that have ended and are not durable yet, above which no further turn begins. The
+// object API takes some 2.6 MB a second even when an answer takes 240 ms. Each waiting turn is in
+// memory several times: the request, the record and its batch.
+constexpr std::size_t kMaxWaitingBytes = 4UL * 1024 * 1024;
 
 } // namespace
 
@@ -82,6 +88,7 @@
         , log(std::move(l))
         , reader(e, access, s, log)
         , batches(registry.counter(metrics::Metric::JournalBatches))
+        , contentBytes(registry.gauge(metrics::Metric::KeptTurnBytes))
         , peerRecords(registry, log)
         , writer(s.self(), ids, {.flushInterval = kFlushInterval, .batchBytes = kMinBatchBytes})
         , ledger(access, {kLedgerKind, s.self().value()})
@@ -182,6 +189,7 @@
              appendedTurns.takeDurable(writer.durableTicket(), state.self(), number)) {
             state.turns().addStored(turn.id, turn.stored);
             content.turns.push_back(turn.id);
+            storedTurns.push_back(turn);
             index.add(std::move(turn));
         }
         localJournal.onBatch(state.self(), number, std::move(content));
@@ -446,13 +454,14 @@
                                                            turns::TurnId previous, TeamName team,
                                                            std::string input)
     {
-        const Result<void> read = co_await self->reader.readChain(previous);
+        const auto read = co_await self->reader.readChain(previous);
         if (!read && self->searchPeers) {
             (void)co_await self->searchPeers(previous, SearchScope::AllPeers);
         }
-        const bool isRead = read || self->state.turns().hasWholeChain(previous);
-        if (!isRead) {
-            co_return Error(ErrorKind::StoreUnavailable, read.error().message())
+        if (!self->state.turns().hasWholeChain(previous)) {
+            co_return Error(ErrorKind::StoreUnavailable,
+                            read ? "the content of the turn is not in memory any more"
+                                 : read.error().message())
                 .withNotRun()
                 .withRetryAfter(kNotDurableRetry);
         }
@@ -498,6 +507,7 @@
     logging::Log log;
     JournalReader reader;
     metrics::Counter &batches;
+    metrics::Gauge &contentBytes;
     PeerRecordAdmission peerRecords;
     store::OperationIdSource ids;
     journal::Writer writer;
@@ -544,6 +554,10 @@
     bool knowsLedger = false;
     bool hasKeptTurns = false;
     std::size_t runningWrites = 0;
+    // See takeStoredTurns().
+    std::vector<IndexedTurn> storedTurns;
+    // Content of the turns for which keep() waits.
+    std::size_t waitingBytes = 0;
     // When the last write was sent.
     Instant sentAt;
 };
@@ -583,6 +597,21 @@
     }
 }
 
+bool TurnKeeper::acceptsTurns() const
+{
+    return std::max(d->waitingBytes, d->writer.pendingBytes()) <= kMaxWaitingBytes;
+}
+
+const std::vector<IndexedTurn> &TurnKeeper::storedTurns() const
+{
+    return d->storedTurns;
+}
+
+std::vector<IndexedTurn> TurnKeeper::takeStoredTurns()
+{
+    return std::exchange(d->storedTurns, {});
+}
+
 bool TurnKeeper::isLedgerDue() const
 {
     return d->ledgerSchedule.isDue(Private::now());
@@ -592,6 +621,9 @@
 {
     const auto self = d;
     self->hasKeptTurns = true;
+    const turns::PinnedTurns pinned(self->state.turns(), {turn.id});
+    BufferedBytes waiting(self->waitingBytes);
+    waiting.add(turn.input.size() + turn.output.size());
     journal::Record record;
     *record.mutable_turn_kept() = toRecord(turn);
     if (self->announce) {
@@ -805,6 +837,7 @@
     if (!d->reader.isLoadingTurns()) {
         d->state.turns().expire(wallNow);
     }
+    d->contentBytes.set(static_cast<double>(d->state.turns().contentBytes()));
     if (receivesAllTurns) {
         d->remove(d->localJournal.expired(wallNow, {}, kRemovalsPerRound));
     }
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -11,6 +11,7 @@
 #include "basilhall/base/result.h"
 #include "basilhall/gateway/fleet_state.h"
 #include "basilhall/gateway/store_access.h"
+#include "basilhall/gateway/turn_index.h"
 #include "basilhall/journal/record.pb.h"
 #include "basilhall/logging/log.h"
 
@@ -93,6 +94,11 @@
     // Call once this gateway has loaded all earlier spending from a peer or from the object API.
     void setLedgerKnown();
     bool knowsLedger() const;
+    // The turns in the batches of this journal that became durable since the last call of
+    // takeStoredTurns().
+    const std::vector<IndexedTurn> &storedTurns() const;
+    // Returns them and begins anew.
+    std::vector<IndexedTurn> takeStoredTurns();
     // The reader of the ledgers and journals of all gateways.
     JournalReader &reader();
     // Writes the ledger of this gateway if its journal has grown since the last one. The first
@@ -101,6 +107,9 @@
     // True if the last ledger was written long enough ago for its size; see LedgerSchedule.
     bool isLedgerDue() const;
 
+    // False while so much content waits to become durable that a further turn would have to wait
+    // for long with its content in memory.
+    bool acceptsTurns() const;
     // Makes the turn durable. StoreUnavailable after `timeout`; the turn may still become durable.
     boost::asio::awaitable<Result<void>> keep(turns::KeptTurn turn, Duration timeout);
     // Makes a record durable that covers what the program has spent and has in flight.
--- a/basilhall/metrics/metric.cpp
+++ b/basilhall/metrics/metric.cpp
@@ -97,6 +97,10 @@
         "become durable soon.",
         "The peers write these records themselves: more calls to the object API until it "
         "answers normally again."},
+    MetricTraits{KeptTurnBytes, "basilhall_kept_turn_bytes", Gauge, Entry, "bytes", "",
+                 "Content of kept turns in memory.",
+                 "At `kept_turn_memory`: older turns are read from the object API when a turn "
+                 "continues them."},
     MetricTraits{ObjectApiRequests, "basilhall_object_api_requests_total", Counter, Entry,
                  "requests", "operation", "Requests to the object API, by operation.",
                  "A rise: see which operation; the API counts each."},
--- a/basilhall/metrics/metric.h
+++ b/basilhall/metrics/metric.h
@@ -38,6 +38,7 @@
     JournalPendingBytes,
     JournalOldestPendingSeconds,
     JournalPeerRecordsRefused,
+    KeptTurnBytes,
     ObjectApiRequests,
     ObjectApiFailures,
     ObjectApiSeconds,
--- a/basilhall/settings/gateway_settings.h
+++ b/basilhall/settings/gateway_settings.h
@@ -10,6 +10,7 @@
 #include "basilhall/logging/log_settings.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -43,6 +44,9 @@
     bool limitsWarmEndpoints = false;
     // Gateways ask each other for unused shares of the request limits of endpoints.
     bool lendsShares = false;
+    // Bytes of kept turns that are held in memory; the others are read from the store when a turn
+    // continues them.
+    std::size_t keptTurnMemory = 24UL * 1024 * 1024;
     logging::LogSettings log;
 
     auto operator<=>(const GatewaySettings &) const = default;
--- a/basilhall/settings/key_table.cpp
+++ b/basilhall/settings/key_table.cpp
@@ -79,6 +79,10 @@
     KeySpec{
         "lend_shares", KeyScope::Gateway, KeyType::Flag, "", "`true`, `false`", "false", false,
         "True if gateways ask each other for unused shares of the request limits of endpoints."},
+    KeySpec{"kept_turn_memory", KeyScope::Gateway, KeyType::Count, "MiB", "1 to 65536", "24", false,
+            "Memory for the content of kept turns. Turns that were not used for longest are read "
+            "from the object API when a turn continues them.",
+            1, 65'536},
     KeySpec{"endpoint", KeyScope::Agent, KeyType::Name, "",
             "1 to 63 letters, digits, `-`, `_` and `.`", "", true,
             "Name of the endpoint, as in the manifest."},
--- a/basilhall/settings/parser.cpp
+++ b/basilhall/settings/parser.cpp
@@ -155,6 +155,8 @@
     gateway.coldTolerance = reader.number("cold_tolerance", 0, kMaxTolerance);
     gateway.limitsWarmEndpoints = reader.flag("limit_warm_endpoints");
     gateway.lendsShares = reader.flag("lend_shares");
+    constexpr std::size_t kMebibyte = 1024UL * 1024;
+    gateway.keptTurnMemory = reader.count("kept_turn_memory") * kMebibyte;
     gateway.log = readLog(reader);
     checkDistinct({{"listen", gateway.listen},
                    {"ready_listen", gateway.readyListen},
--- a/basilhall/turns/turn_table_test.cpp
+++ b/basilhall/turns/turn_table_test.cpp
@@ -1,5 +1,7 @@
 #include "basilhall/turns/turn_table.h"
 
+#include "basilhall/turns/pinned_turns.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace basilhall;
@@ -138,6 +140,67 @@
     BOOST_TEST(!table.isKept(TurnId("w")));
 }
 
+// Kept turns of the largest size at the usual rate filled the memory of all gateways in 15 s.
+BOOST_AUTO_TEST_CASE(contentInMemoryIsBoundedAndAllTurnsStayKnown)
+{
+    constexpr std::size_t kInputBytes = 100'000;
+    constexpr std::size_t kTurns = 400;
+    TurnTable bounded;
+    for (std::size_t i = 0; i < kTurns; ++i) {
+        KeptTurn large = turn(std::to_string(i), "", 100);
+        large.input = std::string(kInputBytes, 'i');
+        bounded.add(large);
+    }
+    BOOST_TEST(bounded.size() * kInputBytes <= kDefaultContentBytes);
+    for (std::size_t i = 0; i < kTurns; ++i) {
+        BOOST_TEST(bounded.isKept(TurnId(std::to_string(i))));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(contentThatWasNotUsedForLongestIsDroppedFirst)
+{
+    TurnTable small(1000);
+    for (const std::string id : {"a", "b", "c"}) {
+        small.add(turn(id, "", 100));
+    }
+    BOOST_TEST(small.prompt(TurnId("a"), kTeam, "").has_value());
+    small.add(turn("d", "", 100));
+    BOOST_TEST(small.contains(TurnId("a")));
+    BOOST_TEST(!small.contains(TurnId("b")));
+    BOOST_TEST(small.isKept(TurnId("b")));
+    BOOST_TEST(!small.missing(TurnId("b")));
+    small.addStored(TurnId("b"), {Incarnation("j"), 3, TurnId(), 100});
+    BOOST_TEST_REQUIRE(small.missing(TurnId("b")).has_value());
+    BOOST_TEST(small.missing(TurnId("b"))->front().batch == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(pinnedContentIsNotDropped)
+{
+    TurnTable small(1000);
+    {
+        const PinnedTurns pinned(small, {TurnId("a"), TurnId("e")});
+        for (const std::string id : {"a", "b", "c", "d", "e", "f"}) {
+            small.add(turn(id, "", 100));
+        }
+        BOOST_TEST((small.contains(TurnId("a")) && small.contains(TurnId("e"))));
+        BOOST_TEST(!small.contains(TurnId("b")));
+        BOOST_TEST(small.contentBytes() <= small.maxContentBytes());
+        BOOST_TEST(small.pinnedBytes() > 0U);
+    }
+    BOOST_TEST(small.pinnedBytes() == 0U);
+    small.add(turn("g", "", 100));
+    BOOST_TEST(!small.contains(TurnId("a")));
+}
+
+BOOST_AUTO_TEST_CASE(chainIdsListAllKnownTurnsOfAChain)
+{
+    table.addStored(TurnId("s"), {Incarnation("j"), 3, TurnId("b"), 100});
+    table.add(turn("t", "s", 100));
+    const std::vector<TurnId> all{TurnId("t"), TurnId("s"), TurnId("b"), TurnId("a")};
+    BOOST_TEST((table.chainIds(TurnId("t")) == all));
+    BOOST_TEST(table.chainIds(TurnId("x")).empty());
+}
+
 BOOST_AUTO_TEST_CASE(turnHasTheRegionsThatItWasKeptWith)
 {
     BOOST_TEST(table.allowedRegions(TurnId("a")).empty());
