Kept turns that callers continue are kept whole

Cause: the forwarder collected the output of its own attempt only and kept that as the output of the turn. Nothing outside the relaying gateway knew what had been said.

Change: on routes that keep turns and let callers continue streams, a gateway tells two others the data of each event before the caller gets it. The gateway that serves the rest takes the latest attempt's events up to the one that the caller names; if nobody knows them, it refuses as not run. A later attempt replaces an earlier one, also if that one's gateway was frozen and goes on. Other routes are served as before.

--- a/basilhall/gateway/call_context.h
+++ b/basilhall/gateway/call_context.h
@@ -12,8 +12,10 @@
 #include "basilhall/placement/engine_model.h"
 #include "basilhall/placement/work.h"
 #include "basilhall/resumption/stream_origin.h"
+#include "basilhall/resumption/stream_output.h"
 #include "basilhall/suspects/request_key.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -82,6 +84,12 @@
     std::uint64_t events = 0;
     std::optional<std::uint64_t> lastEvent;
     std::string output;
+    // What the turn has said, for gateways at which its caller may continue it, and how much of it
+    // they were told. nullptr if the caller cannot continue it.
+    std::shared_ptr<resumption::StreamOutput> said;
+    std::size_t sharedEvents = 0;
+    // The caller has continued the turn elsewhere.
+    bool isSuperseded = false;
     // The header of the answer has been sent to the caller.
     bool hasResponseStarted = false;
     // The endpoint answered with an error status, which was forwarded.
--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -21,6 +21,7 @@
 #include "basilhall/placement/program_starts.h"
 #include "basilhall/placement/share_loans.h"
 #include "basilhall/resumption/origin_table.h"
+#include "basilhall/resumption/output_table.h"
 #include "basilhall/suspects/crash_evidence.h"
 #include "basilhall/suspects/request_families.h"
 #include "basilhall/turns/budget_ledger.h"
@@ -174,6 +175,7 @@
     // Where the streams began that this gateway was told of.
     resumption::OriginTable &origins() { return m_origins; }
     const resumption::OriginTable &origins() const { return m_origins; }
+    resumption::OutputTable &outputs() { return m_outputs; }
     turns::TurnTable &turns() { return m_turns; }
     turns::BudgetLedger &budgets() { return m_budgets; }
 
@@ -203,6 +205,7 @@
     suspects::CrashEvidence m_bodyCrashes;
     suspects::RequestFamilies m_families;
     resumption::OriginTable m_origins;
+    resumption::OutputTable m_outputs;
     turns::TurnTable m_turns;
     turns::BudgetLedger m_budgets;
     std::unordered_map<TeamName, limit::SharedRate> m_rates;
--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -1,7 +1,7 @@
 // Serves the requests of callers: checks them, applies limits, sends each to an endpoint and
 // forwards the answer.
 //
-//     Forwarder<Dialect> forwarder(client, state, keeper, askHome, origins, log, random);
+//     Forwarder<Dialect> forwarder(client, state, keeper, askHome, origins, outputs, log, random);
 //     http::Server server(executor, listen, limits,
 //                         [&](auto exchange) { return forwarder.serve(std::move(exchange)); });
 #pragma once
@@ -20,6 +20,7 @@
 #include "basilhall/gateway/send_queue.h"
 #include "basilhall/gateway/share_lender.h"
 #include "basilhall/gateway/stream_continuer.h"
+#include "basilhall/gateway/stream_outputs.h"
 #include "basilhall/gateway/suspect_guard.h"
 #include "basilhall/gateway/turn_keeper.h"
 #include "basilhall/hostload/program_admission.h"
@@ -44,13 +45,14 @@
         std::function<boost::asio::awaitable<Result<turns::Admission>>(turns::TurnBudget)>;
 
     Forwarder(http::Client &client, FleetState &state, TurnKeeper &keeper, AskHome askHome,
-              StreamOrigins &origins, CallLog &log, std::mt19937_64 &random)
+              StreamOrigins &origins, StreamOutputs &outputs, CallLog &log, std::mt19937_64 &random)
         : m_client(client)
         , m_state(state)
         , m_keeper(keeper)
         , m_askHome(std::move(askHome))
         , m_suspects(state, log)
         , m_continuer(client, state, origins, log)
+        , m_outputs(outputs)
         , m_log(log)
         , m_random(random)
     {
@@ -549,6 +551,9 @@
     boost::asio::awaitable<Result<void>> serveStream(std::shared_ptr<CallContext> context)
     {
         Result<void> ready = co_await m_continuer.prepare(context);
+        if (ready) {
+            ready = co_await m_outputs.prepare(context);
+        }
         if (ready) {
             ready = co_await prepareTurn(context);
         }
@@ -810,6 +815,7 @@
                                                      http::ResponseStream &stream)
     {
         std::string text;
+        bool hasSaid = false;
         while (auto event = splitter.next()) {
             if (event->id && context->lastEvent && *event->id <= *context->lastEvent) {
                 continue;
@@ -824,10 +830,19 @@
             if (context->route->keepsTurns) {
                 context->output += event->data;
             }
+            if (context->said) {
+                context->said->events.push_back(
+                    {context->lastEvent.value_or(0), std::move(event->data)});
+                hasSaid = true;
+            }
         }
         if (text.empty()) {
             co_return success();
         }
+        if (hasSaid) {
+            // The caller may continue the turn elsewhere after any event that it has received.
+            co_await m_outputs.share(context);
+        }
         if (!context->hasResponseStarted) {
             const Result<void> begun = co_await begin(context, stream);
             if (!begun) {
@@ -884,6 +899,7 @@
     AskHome m_askHome;
     SuspectGuard m_suspects;
     StreamContinuer<Dialect> m_continuer;
+    StreamOutputs &m_outputs;
     CallLog &m_log;
     std::mt19937_64 &m_random;
     SendQueue m_sendQueue;
--- a/basilhall/gateway/internal/peer_requests.cpp
+++ b/basilhall/gateway/internal/peer_requests.cpp
@@ -2,6 +2,7 @@
 
 #include "basilhall/base/monotonic_clock.h"
 #include "basilhall/gateway/gateway.pb.h"
+#include "basilhall/gateway/internal/output_codec.h"
 #include "basilhall/gateway/internal/route_choice.h"
 #include "basilhall/gateway/journal_reader.h"
 #include "basilhall/gateway/record_codec.h"
@@ -74,6 +75,10 @@
         reply = this->stream(stream->request());
     } else if (stream->method() == kLendMethod) {
         reply = lend(stream->request());
+    } else if (stream->method() == kOutputMethod) {
+        reply = output(stream->request());
+    } else if (stream->method() == kSaidMethod) {
+        reply = said(stream->request());
     } else if (stream->method() == kLedgerMethod && m_keeper.knowsLedger()) {
         reply = ledger();
     } else if (stream->method() == kLedgerMethod) {
@@ -283,6 +288,32 @@
     return reply.SerializeAsString();
 }
 
+std::string PeerRequests::output(const std::string &request)
+{
+    wire::OutputPart part;
+    if (!part.ParseFromString(request)) {
+        return {};
+    }
+    wire::OutputReply reply;
+    reply.set_incarnation(m_state.self().value());
+    reply.set_verdict(toWire(m_state.outputs().add(fromWire(part), part.first_index())));
+    return reply.SerializeAsString();
+}
+
+std::string PeerRequests::said(const std::string &request)
+{
+    wire::SaidRequest message;
+    if (!message.ParseFromString(request)) {
+        return {};
+    }
+    wire::SaidReply reply;
+    reply.set_incarnation(m_state.self().value());
+    if (const auto *output = m_state.outputs().find(CallId(message.stream()))) {
+        *reply.mutable_output() = toWire(*output, 0);
+    }
+    return reply.SerializeAsString();
+}
+
 std::string PeerRequests::ledger() const
 {
     wire::LedgerReply reply;
--- a/basilhall/gateway/internal/peer_requests.h
+++ b/basilhall/gateway/internal/peer_requests.h
@@ -1,5 +1,5 @@
 // Answers the requests of peers: to keep records, to admit a turn, to send a turn, the ledger or
-// where a stream began, to lend a share of an endpoint's limit.
+// where a stream began or what it has said, to lend a share of an endpoint's limit.
 //
 //     PeerRequests requests(state, keeper, log, receivesAllTurns, broadcastChanges, journalMarks,
 //                           listedByHolder, forwardTurn, confirmSpending, chooseHome);
@@ -35,6 +35,8 @@
 inline const std::string kLedgerMethod = "/ledger";
 inline const std::string kStreamMethod = "/stream";
 inline const std::string kLendMethod = "/lend";
+inline const std::string kOutputMethod = "/output";
+inline const std::string kSaidMethod = "/said";
 
 // Not thread-safe. The references must outlive it.
 class PeerRequests
@@ -77,6 +79,8 @@
     std::string ledger() const;
     std::string stream(const std::string &request) const;
     std::string lend(const std::string &request);
+    std::string output(const std::string &request);
+    std::string said(const std::string &request);
 
     FleetState &m_state;
     TurnKeeper &m_keeper;
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -1355,6 +1355,30 @@
     return Private::findOrigin(d, std::move(attempt));
 }
 
+std::vector<HostName> PeerMesh::outputKeepers(const CallId &stream,
+                                              const std::vector<std::string> &allowedRegions) const
+{
+    std::set<HostName> candidates;
+    for (const auto &[host, peer] : d->peers) {
+        const bool mayHold = allowedRegions.empty()
+            || d->state.regions().allows(allowedRegions, peer->member.failureDomain);
+        if (mayHold && d->isReachable(*peer) && !peer->hasEnded) {
+            candidates.insert(host);
+        }
+    }
+    return resumption::originKeepers(stream, candidates, resumption::kOriginCopies);
+}
+
+std::vector<HostName> PeerMesh::askedForOutput(const CallId &stream) const
+{
+    std::set<HostName> candidates = d->connectedHosts();
+    candidates.insert(d->self.host);
+    std::vector<HostName> asked =
+        resumption::originKeepers(stream, candidates, resumption::kOriginsAsked);
+    std::erase(asked, d->self.host);
+    return asked;
+}
+
 void PeerMesh::publish(Document document)
 {
     const DocumentKind kind = document.kind;
--- a/basilhall/gateway/peer_mesh.h
+++ b/basilhall/gateway/peer_mesh.h
@@ -77,6 +77,12 @@
     // Asks the gateways that were told, and the holders, where a stream began. The number of
     // requests grows with the failure domains only. nullopt if none knows.
     boost::asio::awaitable<std::optional<resumption::StreamOrigin>> findOrigin(CallId attempt);
+    // The gateways that are told what a stream of a kept turn says, among those whose failure
+    // domains are in the allowed regions; all if there are none.
+    std::vector<HostName> outputKeepers(const CallId &stream,
+                                        const std::vector<std::string> &allowedRegions) const;
+    // The gateways that may have been told.
+    std::vector<HostName> askedForOutput(const CallId &stream) const;
     // Offers a document to the peers, which fetch it if it is newer than theirs. Ignored if this
     // gateway already offers a version that is not older.
     void publish(Document document);
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -845,6 +845,7 @@
         d->remove(d->reader.expired(wallNow, *live, kRemovalsPerRound));
     }
     d->state.origins().expire(wallNow);
+    d->state.outputs().expire(wallNow);
     d->state.budgets().expire(Private::now() - kProgramRetention);
     std::erase_if(d->recordedPrograms, [self = d.get()](const ProgramId &program) {
         return !self->state.budgets().knows(program);
