HTTP client: an answer without a length is not whole if a write met a reset

Cause: the write of the request took the report of the reset. exchange() read on, as an early answer may be sound, and the reads ended like those of a closed connection, which ends a body without a length.

The same answer to a request without a body is 502.

Change: the connection remembers a write that met a reset; a body without a length then does not end whole. After a broken pipe it may: the server had ended its side before. Plain calls, streams, the store and questions to endpoints read by this path.

--- a/basilhall/http/internal/client_connection.cpp
+++ b/basilhall/http/internal/client_connection.cpp
@@ -57,6 +57,8 @@
     if (!error) {
         co_return success();
     }
+    // The server had closed its side before if the pipe is broken: all that it sent has arrived.
+    m_wasReset = error != asio::error::broken_pipe;
     const Error reason = failureOf("sending the request");
     co_return written == 0 ? reason.withNotRun() : reason;
 }
--- a/basilhall/http/internal/client_connection.h
+++ b/basilhall/http/internal/client_connection.h
@@ -34,6 +34,9 @@
     boost::asio::awaitable<Result<void>> connect();
     // Writes a whole request; an error has notRun() if no byte was sent.
     boost::asio::awaitable<Result<void>> write(std::string bytes);
+    // True if a write has met a reset. The socket reports a reset once only: a later read ends like
+    // that of a connection that the server has closed.
+    bool wasReset() const { return m_wasReset; }
     // Closes the connection; pending operations end with Cancelled.
     void cancel();
     // Returns the error for a failed operation: Cancelled, DeadlineExceeded or ConnectionLost.
@@ -46,6 +49,7 @@
     boost::beast::flat_buffer m_buffer;
     Instant m_connectedAt;
     bool m_cancelled = false;
+    bool m_wasReset = false;
 };
 
 } // namespace basilhall::http
--- a/basilhall/http/internal/client_response.cpp
+++ b/basilhall/http/internal/client_response.cpp
@@ -82,7 +82,14 @@
 asio::awaitable<Result<std::optional<std::string>>> ClientResponse::readPart()
 {
     const auto self = shared_from_this();
-    while (!m_parser->is_done()) {
+    while (true) {
+        // Without a length, only the regular end of the connection shows that the body is complete.
+        if (m_parser->is_done()) {
+            if (m_parser->need_eof() && m_connection->wasReset()) {
+                co_return m_connection->failureOf("reading the answer body");
+            }
+            co_return std::optional<std::string>();
+        }
         auto &body = m_parser->get().body();
         body.data = m_part.data();
         body.size = m_part.size();
@@ -96,7 +103,6 @@
             co_return std::string(m_part.data(), size);
         }
     }
-    co_return std::optional<std::string>();
 }
 
 asio::awaitable<Result<void>> ClientResponse::skip()
