--- a/basilhall/command/run_process.cpp
+++ b/basilhall/command/run_process.cpp
@@ -12,6 +12,7 @@
 #include "basilhall/agent/run_agent.h"
 #endif
 
+#include <cstdlib>
 #include <ostream>
 
 namespace basilhall::command
@@ -45,7 +46,9 @@
         streams.err << "basilhall " << kind << ": " << text.error().message() << '\n';
         return std::nullopt;
     }
-    const settings::ParsedSettings parsed = settings::parse(file.getValue(), text.value());
+    const char *const environment = std::getenv(settings::kSettingsVariable);
+    const settings::ParsedSettings parsed =
+        settings::parse(file.getValue(), text.value(), environment == nullptr ? "" : environment);
     for (const config::Fault &fault : parsed.faults) {
         streams.err << toString(fault) << '\n';
     }
--- a/basilhall/settings/parser.cpp
+++ b/basilhall/settings/parser.cpp
@@ -224,15 +224,28 @@
     return "steward";
 }
 
-ParsedSettings parse(std::string file, std::string_view text)
+ParsedSettings parse(std::string file, std::string_view text, std::string_view environment)
 {
-    config::Document document(std::move(file), text);
+    std::string all(environment);
+    if (!all.empty()) {
+        all += '\n';
+    }
+    const auto linesBefore = static_cast<std::uint32_t>(std::count(all.begin(), all.end(), '\n'));
+    all += text;
+    config::Document document(std::move(file), all);
     ParsedSettings parsed;
     if (document.isReadable()) {
         config::Table root = document.root();
         readSettings(root, parsed);
     }
     parsed.faults = document.faults();
+    for (config::Fault &fault : parsed.faults) {
+        if (fault.line > linesBefore) {
+            fault.line -= linesBefore;
+        } else if (fault.line > 0) {
+            fault.file = kSettingsVariable;
+        }
+    }
     if (!parsed.faults.empty()) {
         parsed.settings = std::monostate();
     }
--- a/basilhall/settings/parser.h
+++ b/basilhall/settings/parser.h
@@ -25,8 +25,13 @@
     config::Faults faults;
 };
 
-// `file` is the file name in the faults. The key `process` selects the kind. Thread-safe.
-ParsedSettings parse(std::string file, std::string_view text);
+// Environment variable with further keys of the root table, which precede those of the file. It
+// lets a deployment that fills in plain templates state keys that not all hosts have.
+inline constexpr const char *kSettingsVariable = "BASILHALL_SETTINGS";
+
+// `file` is the file name in the faults. The key `process` selects the kind. `environment` is the
+// value of kSettingsVariable; faults in it name the variable. Thread-safe.
+ParsedSettings parse(std::string file, std::string_view text, std::string_view environment = {});
 
 // Returns true if `text` is a settings file and not a manifest: it has the key `process`.
 bool isSettings(std::string_view text);
--- a/basilhall/settings/reference_page.cpp
+++ b/basilhall/settings/reference_page.cpp
@@ -15,7 +15,9 @@
     "`min`,\n"
     "`h`), an address a string with IP address and port. Port 0 selects a free port. Unknown\n"
     "keys, wrong units and contradictions are errors that name file, line and key;\n"
-    "`basilhall check FILE` lists them all.\n";
+    "`basilhall check FILE` lists them all.\n\n"
+    "Further keys of the root table may be in the environment variable `BASILHALL_SETTINGS`; they\n"
+    "precede those of the file.\n";
 
 constexpr std::string_view kTableHeader =
     "\n| Key | Type | Unit | Range | Default | Meaning |\n|---|---|---|---|---|---|\n";
--- a/basilhall/settings/settings_test.cpp
+++ b/basilhall/settings/settings_test.cpp
@@ -67,6 +67,36 @@
 
 BOOST_AUTO_TEST_SUITE(settings_parser)
 
+// The template of the gateway had sections, which simpler renderers than the platform's refuse.
+BOOST_AUTO_TEST_CASE(keysOfTheEnvironmentPrecedeThoseOfTheFile)
+{
+    const std::string environment = "evacuation_bound = \"5 s\"\nlend_shares = true\n";
+    const ParsedSettings parsed =
+        parse("s.toml", kGateway + "[log]\nformat = \"json\"\n", environment);
+    BOOST_TEST(parsed.faults.empty());
+    const auto *const gateway = std::get_if<GatewaySettings>(&parsed.settings);
+    BOOST_REQUIRE(gateway != nullptr);
+    BOOST_TEST((gateway->evacuationBound == Duration(5s)));
+    BOOST_TEST(gateway->lendsShares);
+    BOOST_TEST((std::get<GatewaySettings>(parse("s.toml", kGateway, "").settings)
+                == std::get<GatewaySettings>(parse("s.toml", kGateway).settings)));
+}
+
+BOOST_AUTO_TEST_CASE(faultsNameTheEnvironmentOrTheFile)
+{
+    const auto texts = [](const ParsedSettings &parsed) {
+        std::vector<std::string> found;
+        for (const config::Fault &fault : parsed.faults) {
+            found.push_back(toString(fault));
+        }
+        return found;
+    };
+    const auto unknown = texts(parse("s.toml", kGateway + "two = 2\n", "one = 1\n"));
+    BOOST_TEST_REQUIRE(unknown.size() == 2U);
+    BOOST_TEST(unknown[0].starts_with("BASILHALL_SETTINGS:1:"));
+    BOOST_TEST(unknown[1].starts_with("s.toml:9:"));
+}
+
 BOOST_AUTO_TEST_CASE(parsesEntrySettings)
 {
     const ParsedSettings parsed =
