Answers without end: bound the memory of all that is read, streams and reports included

Report of another operator: a faulty endpoint sent bytes that were no answer, without end; the host that had called it ran out of memory, and other clients' requests ended with it.

Cause: Client::send collected 32 MiB of any answer; the sum over all answers counted bytes instead of memory, and no streams.

Change: the caller of send() bounds the body (reports: 256 KiB); the sum, 16 MiB, counts the memory of plain answers, unfinished events and outputs of kept turns.

--- a/basilhall/gateway/event_splitter.h
+++ b/basilhall/gateway/event_splitter.h
@@ -36,6 +36,8 @@
     bool hasPartialEvent() const { return m_eventBegin < m_bytes.size(); }
     // Size of that part.
     std::size_t partialBytes() const { return m_bytes.size() - m_eventBegin; }
+    // Memory that it holds.
+    std::size_t heldBytes() const { return m_bytes.capacity(); }
     // Discards an incomplete event.
     void reset();
 
--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -538,7 +538,7 @@
                 co_return response;
             }
             response.body += *part.value();
-            buffered.add(part.value()->size());
+            buffered.set(response.body.capacity());
             if (response.body.size() > kMaxAnswerBytes || m_bufferedBytes > kMaxBufferedBytes) {
                 context->cancelRead = nullptr;
                 co_return Error(ErrorKind::EndpointFailed,
@@ -758,6 +758,7 @@
             co_return checked.error();
         }
         EventSplitter splitter;
+        BufferedBytes buffered(m_bufferedBytes);
         context->cancelRead = [&stream] { stream.cancel(); };
         while (true) {
             const auto part = co_await stream.read(std::max(timeLeft(*context), Duration::zero()));
@@ -790,6 +791,13 @@
                 context->cancelRead = nullptr;
                 co_return Error(ErrorKind::EndpointFailed, "the stream has an event without end");
             }
+            buffered.set(splitter.heldBytes() + context->output.capacity()
+                         + (context->said ? context->said->bytes() : 0));
+            if (m_bufferedBytes > kMaxBufferedBytes) {
+                context->cancelRead = nullptr;
+                co_return Error(ErrorKind::EndpointFailed,
+                                "the answers of endpoints hold too much memory to read on");
+            }
         }
         if (splitter.hasPartialEvent()) {
             context->isRunBroken = true;
--- a/basilhall/gateway/internal/buffered_bytes.h
+++ b/basilhall/gateway/internal/buffered_bytes.h
@@ -1,7 +1,7 @@
 // Counts the bytes that one answer holds in a sum over all answers.
 //
 //     BufferedBytes buffered(sum);
-//     buffered.add(part.size());   // taken off again with the destruction of `buffered`
+//     buffered.set(body.capacity());   // taken off again with the destruction of `buffered`
 #pragma once
 
 #include <cstddef>
@@ -21,10 +21,10 @@
     BufferedBytes(const BufferedBytes &) = delete;
     BufferedBytes &operator=(const BufferedBytes &) = delete;
 
-    void add(std::size_t bytes)
+    void set(std::size_t bytes)
     {
-        m_sum += bytes;
-        m_own += bytes;
+        m_sum = m_sum - m_own + bytes;
+        m_own = bytes;
     }
 
 private:
--- a/basilhall/gateway/internal/route_choice.h
+++ b/basilhall/gateway/internal/route_choice.h
@@ -21,10 +21,11 @@
 // Several round trips to another failure domain. Limits the time that a request loses on an
 // unreachable host.
 inline constexpr Duration kEndpointConnectTimeout = std::chrono::milliseconds(250);
-// Bounds on what endpoints make a gateway hold: for one answer, for all answers that are read at
-// the time, and for one event of a stream.
+// Bounds on what endpoints make a gateway hold: for one answer, in memory for all answers and
+// streams that are read at the time, and for one event of a stream. A body that grows is in memory
+// twice for a moment.
 inline constexpr std::size_t kMaxAnswerBytes = 8UL * 1024 * 1024;
-inline constexpr std::size_t kMaxBufferedBytes = 24UL * 1024 * 1024;
+inline constexpr std::size_t kMaxBufferedBytes = 16UL * 1024 * 1024;
 inline constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
 // An endpoint that could not be reached receives no requests for this time.
 inline constexpr Duration kUnreachablePause = std::chrono::milliseconds(500);
--- a/basilhall/gateway/process_prover.h
+++ b/basilhall/gateway/process_prover.h
@@ -65,6 +65,8 @@
 private:
     static constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
     static constexpr Duration kTimeout = std::chrono::milliseconds(400);
+    // A report lists what runs on an endpoint: some 100 bytes for each of some hundred requests.
+    static constexpr std::size_t kMaxReportBytes = 256UL * 1024;
     // Connections are not kept open without use for that long.
     static constexpr Duration kRetention = std::chrono::minutes(10);
 
@@ -82,6 +84,7 @@
         m_proofs.expire(askedAt - kRetention);
         http::RequestOptions options;
         options.connectTimeout = kConnectTimeout;
+        options.maxResponseBytes = kMaxReportBytes;
         // The question has no id, so an answer that has one belongs to a request.
         options.ownerOf = [](const http::Headers &headers) {
             return Dialect::answerFacts(0, headers).call.isEmpty()
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -623,7 +623,7 @@
     self->hasKeptTurns = true;
     const turns::PinnedTurns pinned(self->state.turns(), {turn.id});
     BufferedBytes waiting(self->waitingBytes);
-    waiting.add(turn.input.size() + turn.output.size());
+    waiting.set(turn.input.size() + turn.output.size());
     journal::Record record;
     *record.mutable_turn_kept() = toRecord(turn);
     if (self->announce) {
--- a/basilhall/http/client.cpp
+++ b/basilhall/http/client.cpp
@@ -15,8 +15,6 @@
 namespace
 {
 
-// Largest response body that send() accepts.
-constexpr std::size_t kMaxResponseBytes = 32 * 1024 * 1024;
 // Other servers may take a request that maySend() stops.
 constexpr Duration kNotSentRetry = std::chrono::milliseconds(100);
 
@@ -157,7 +155,8 @@
         co_return done;
     }
 
-    static asio::awaitable<Result<Response>> collect(std::shared_ptr<ClientResponse> response)
+    static asio::awaitable<Result<Response>> collect(std::shared_ptr<ClientResponse> response,
+                                                     std::size_t maxBytes)
     {
         Response collected;
         collected.status = response->status();
@@ -173,9 +172,11 @@
                 co_return collected;
             }
             collected.body += *part.value();
-            if (collected.body.size() > kMaxResponseBytes) {
+            if (collected.body.size() > maxBytes) {
                 response->finish();
-                co_return Error(ErrorKind::EndpointFailed, "response body is larger than 32 MiB");
+                co_return Error(ErrorKind::EndpointFailed,
+                                "response body of " + toString(response->connection().server())
+                                    + " is larger than " + std::to_string(maxBytes) + " bytes");
             }
         }
     }
@@ -198,12 +199,13 @@
 asio::awaitable<Result<Response>> Client::send(Address server, Request request, Duration timeout,
                                                RequestOptions options)
 {
+    const std::size_t maxBytes = options.maxResponseBytes;
     auto response = co_await Private::exchange(d->m_pool, std::move(server), std::move(request),
                                                timeout, std::move(options));
     if (!response) {
         co_return response.error();
     }
-    co_return co_await Private::collect(response.value());
+    co_return co_await Private::collect(response.value(), maxBytes);
 }
 
 asio::awaitable<Result<std::unique_ptr<ResponseStream>>>
--- a/basilhall/http/client.h
+++ b/basilhall/http/client.h
@@ -14,6 +14,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -53,6 +54,9 @@
     // otherwise the request fails with EndpointFailed, since it may run while an earlier response
     // was sent twice. If empty, every response is accepted.
     std::function<ResponseOwner(const Headers &)> ownerOf;
+    // Largest body that send() collects; a longer one fails the request with EndpointFailed. open()
+    // leaves that to its caller.
+    std::size_t maxResponseBytes = 32UL * 1024 * 1024;
     // Called once the connection is established, before the first byte of the request; if it
     // returns false, the request fails with Overloaded and notRun(). If empty, the request is sent.
     std::function<bool()> maySend;
