A stopping gateway refuses what could be cut off at its end

Report of another operator: in a planned stop, requests that came late in the grace period were passed on and cut with no answer at its end, among them ones that may not be repeated.

Cause: the forwarder did not know when the gateway stops.

Change: from SIGTERM on, a request whose time may outlast the gateway is refused at once as not run, with a Retry-After of the time to connect to another one. What is taken has its answer before the stop.

--- a/basilhall/gateway/fleet_state.h
+++ b/basilhall/gateway/fleet_state.h
@@ -134,6 +134,12 @@
     // The failure domains of the registered endpoints.
     std::set<FailureDomain> endpointDomains() const;
 
+    // This gateway stops at `at`: what runs then is cut off. Requests that may take longer are to
+    // be refused from now on.
+    void setStopsAt(Instant at) { m_stopsAt = at; }
+    // nullopt unless it stops.
+    std::optional<Instant> stopsAt() const { return m_stopsAt; }
+
     // Takes one request from the team's limit; RateLimited with a retry time if none is left.
     // Requests that begin a program are refused earlier, so that programs in progress can finish.
     Result<void> admit(const TeamName &team, bool beginsProgram, Instant now);
@@ -205,6 +211,7 @@
     suspects::CrashEvidence m_bodyCrashes;
     suspects::RequestFamilies m_families;
     resumption::OriginTable m_origins;
+    std::optional<Instant> m_stopsAt;
     resumption::OutputTable m_outputs;
     turns::TurnTable m_turns;
     turns::BudgetLedger m_budgets;
--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -100,6 +100,7 @@
         }
         BOOST_OUTCOME_TRY(context.call, Dialect::decodeCall(context.exchange->request()));
         BOOST_OUTCOME_TRY(resolveRoute(context));
+        BOOST_OUTCOME_TRY(admitBeforeStop(context));
         BOOST_OUTCOME_TRY(restrictToRegions(context, m_state.regions()));
         BOOST_OUTCOME_TRY(admitByHostLoad(context));
         setRequestKeys(context);
@@ -107,6 +108,20 @@
         return admitProgram(context);
     }
 
+    // Refuses what could be cut off when this gateway stops. Other gateways can serve it at once.
+    Result<void> admitBeforeStop(CallContext &context)
+    {
+        const std::optional<Instant> stopsAt = m_state.stopsAt();
+        if (!stopsAt || context.deadline + kAnswerMargin <= *stopsAt) {
+            return success();
+        }
+        m_log.notBeforeStop(context, *stopsAt - context.arrivedAt);
+        return Error(ErrorKind::Unavailable,
+                     "the gateway stops, and the request may take longer than that")
+            .withNotRun()
+            .withRetryAfter(kStoppingRetry);
+    }
+
     // Refuses what this host cannot serve in time, before any work is done for it: requests with
     // too little time left, and first turns of programs while the host is late with its own work.
     // Turns that continue others are never refused.
--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -519,6 +519,7 @@
         self->isDraining = true;
         const Instant startTime = now();
         const Instant deadline = startTime + self->settings.shutdownGrace - kKillMargin;
+        self->state.setStopsAt(deadline);
         self->log.info("Drains.", Field("running", self->callLog.running()));
         self->callers->closeAfterAnswers();
         asio::steady_timer timer(self->executor);
--- a/basilhall/gateway/internal/call_log.cpp
+++ b/basilhall/gateway/internal/call_log.cpp
@@ -216,6 +216,13 @@
                Field("list_age", context.sentAt - listedAt.value_or(context.sentAt)));
 }
 
+void CallLog::notBeforeStop(const CallContext &context, Duration left)
+{
+    m_log.info("Refused a request that may not end before the gateway stops.",
+               Field("call", context.call.id), Field("route", PublicText(context.route->name)),
+               Field("time_left", context.deadline - context.arrivedAt), Field("stops_in", left));
+}
+
 void CallLog::notCovered(const CallContext &context, const Error &error)
 {
     m_log.warning("A turn ends before its spending is durable.", Field("call", context.call.id),
--- a/basilhall/gateway/internal/call_log.h
+++ b/basilhall/gateway/internal/call_log.h
@@ -70,6 +70,8 @@
     // `removedFor`; the list of endpoints was current at `listedAt`.
     void sentToRemoved(const CallContext &context, Duration removedFor,
                        std::optional<Instant> listedAt);
+    // Refused because the gateway stops after `left`.
+    void notBeforeStop(const CallContext &context, Duration left);
     // A turn ends although its spending is not durable: the loss of this host would forget it.
     void notCovered(const CallContext &context, const Error &error);
     // The request was not sent because of an evacuation that began after its endpoint was chosen.
--- a/basilhall/gateway/internal/route_choice.h
+++ b/basilhall/gateway/internal/route_choice.h
@@ -35,6 +35,10 @@
 inline constexpr Duration kNoPolicyRetry = std::chrono::milliseconds(300);
 // Loading the kept turns and spending takes about a second after a restart.
 inline constexpr Duration kNotLoadedRetry = std::chrono::milliseconds(500);
+// Time to send an answer, or the refusal at a deadline, to the caller.
+inline constexpr Duration kAnswerMargin = std::chrono::milliseconds(100);
+// Time to connect to another gateway.
+inline constexpr Duration kStoppingRetry = std::chrono::milliseconds(20);
 inline constexpr Duration kNoEndpointRetry = std::chrono::milliseconds(300);
 // Only a new configuration or a restart of the gateway can allow a region that has endpoints.
 inline constexpr Duration kNoRegionRetry = std::chrono::seconds(5);
