Budgets: a turn that ends without a durable record is told to another holder

Cause of the window that remained: the end of a turn at its home waits for the record of its spending, but not if the store fails or takes longer than 0.7 s. Its end was sent then, and the loss of the home before its next update forgot the turn; each further loss one more.

Evidence: turnThatEndsWithoutARecordIsNotForgottenWithItsHome holds the record back. With cover(), as before, on the libraries of the next home admits three turns where two fit.

Change: if the record does not become durable in time, the end of the turn waits until another holder knows the spending, 100 ms a holder at most. While records become durable, nothing is sent.

Left: events that reach a caller before the record and the next update, some 60 ms after the admission, if the home runs the turn itself and is lost then.

--- a/basilhall/gateway/forwarder.h
+++ b/basilhall/gateway/forwarder.h
@@ -683,8 +683,9 @@
             .withRetryAfter(kStoreRetry);
     }
 
-    // Waits until the spending of the turn is durable, so that no answered turn is forgotten with
-    // its home. The record is written while the turn runs; only short turns wait.
+    // Waits until the spending of the turn is durable or known to another holder, so that no
+    // answered turn is forgotten with its home. The record is written while the turn runs; only
+    // short turns wait.
     boost::asio::awaitable<void> awaitCover(std::shared_ptr<CallContext> context)
     {
         const ProgramId &program = context->call.program;
@@ -693,11 +694,8 @@
             co_return;
         }
         const Duration left = std::max(timeLeft(*context), Duration::zero());
-        Result<void> covered =
-            Error(ErrorKind::StoreUnavailable, "neither store nor peers accept records");
-        if (m_keeper.canPersist()) {
-            covered = co_await m_keeper.cover(program, std::min(left, kEndCoverTimeout));
-        }
+        const Result<void> covered =
+            co_await m_keeper.coverEnd(program, std::min(left, kEndCoverTimeout));
         if (!covered) {
             m_log.notCovered(*context, covered.error());
         }
--- a/basilhall/gateway/gateway.cpp
+++ b/basilhall/gateway/gateway.cpp
@@ -131,6 +131,8 @@
             return mesh.findTurn(std::move(id), scope);
         });
         keeper.setAnnounce([this](const journal::TurnKept &turn) { mesh.announce(turn); });
+        keeper.setTellSpending(
+            [this](ProgramId program) { return mesh.tellSpending(std::move(program)); });
     }
 
     static Instant now() { return MonotonicClock().now(); }
--- a/basilhall/gateway/internal/peer_requests.cpp
+++ b/basilhall/gateway/internal/peer_requests.cpp
@@ -4,6 +4,7 @@
 #include "basilhall/gateway/gateway.pb.h"
 #include "basilhall/gateway/internal/output_codec.h"
 #include "basilhall/gateway/internal/route_choice.h"
+#include "basilhall/gateway/internal/update_codec.h"
 #include "basilhall/gateway/journal_reader.h"
 #include "basilhall/gateway/record_codec.h"
 #include "basilhall/transport/server_stream.h"
@@ -73,6 +74,8 @@
         reply = co_await turn(stream->request());
     } else if (stream->method() == kStreamMethod) {
         reply = this->stream(stream->request());
+    } else if (stream->method() == kSpendMethod) {
+        reply = spend(stream->request());
     } else if (stream->method() == kLendMethod) {
         reply = lend(stream->request());
     } else if (stream->method() == kOutputMethod) {
@@ -273,6 +276,18 @@
     return reply.SerializeAsString();
 }
 
+std::string PeerRequests::spend(const std::string &request)
+{
+    wire::Update update;
+    if (!update.ParseFromString(request)) {
+        return {};
+    }
+    applyUpdate(update, MonotonicClock().now(), m_state);
+    wire::SpendReply reply;
+    reply.set_incarnation(m_state.self().value());
+    return reply.SerializeAsString();
+}
+
 std::string PeerRequests::lend(const std::string &request)
 {
     wire::LendRequest message;
--- a/basilhall/gateway/internal/peer_requests.h
+++ b/basilhall/gateway/internal/peer_requests.h
@@ -34,6 +34,7 @@
 inline const std::string kTurnMethod = "/turn";
 inline const std::string kLedgerMethod = "/ledger";
 inline const std::string kStreamMethod = "/stream";
+inline const std::string kSpendMethod = "/spend";
 inline const std::string kLendMethod = "/lend";
 inline const std::string kOutputMethod = "/output";
 inline const std::string kSaidMethod = "/said";
@@ -77,6 +78,7 @@
     // cannot be read.
     boost::asio::awaitable<JournalReader::ChainContent> readContent(turns::TurnId id);
     std::string ledger() const;
+    std::string spend(const std::string &request);
     std::string stream(const std::string &request) const;
     std::string lend(const std::string &request);
     std::string output(const std::string &request);
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -74,6 +74,8 @@
 constexpr Duration kRivalReadInterval = std::chrono::milliseconds(100);
 // Time limit for a peer to answer from memory; the round trip takes a few milliseconds.
 constexpr Duration kRequestTimeout = std::chrono::milliseconds(400);
+// Time limit for a holder to take the spending of a program, for which the end of a turn waits.
+constexpr Duration kSpendTimeout = std::chrono::milliseconds(100);
 // Maximum number of peers that a gateway without access to the object API asks to write for it.
 constexpr std::size_t kMaxRelayPeers = 3;
 // Time until all gateways know a process that has started. This takes a few milliseconds, or a
@@ -1592,6 +1594,28 @@
     co_return co_await self->requestAdmission(home, std::move(turn));
 }
 
+asio::awaitable<bool> PeerMesh::tellSpending(ProgramId program)
+{
+    const auto self = d;
+    wire::Update update;
+    update.set_incarnation(self->self.incarnation.value());
+    addSpend(update, self->self.incarnation, self->state.budgets().localReport(program));
+    const std::string message = update.SerializeAsString();
+    for (const std::shared_ptr<Peer> &peer : self->peersHoldersFirst()) {
+        if (!self->isReachable(*peer) || peer->hasEnded || !self->isHolderAmong(peer->member)) {
+            continue;
+        }
+        const auto answer =
+            co_await self->sendRequest(peer->member.address, kSpendMethod, message, kSpendTimeout);
+        wire::SpendReply reply;
+        if (answer && reply.ParseFromString(*answer)
+            && reply.incarnation() == peer->member.incarnation.value()) {
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
 asio::awaitable<std::optional<std::string>> PeerMesh::request(HostName peer, std::string method,
                                                               std::string message, Duration timeout)
 {
--- a/basilhall/gateway/peer_mesh.h
+++ b/basilhall/gateway/peer_mesh.h
@@ -77,6 +77,9 @@
     // Asks the gateways that were told, and the holders, where a stream began. The number of
     // requests grows with the failure domains only. nullopt if none knows.
     boost::asio::awaitable<std::optional<resumption::StreamOrigin>> findOrigin(CallId attempt);
+    // Tells holders what this gateway has spent for a program and has in flight. True once one of
+    // them knows; false if none answers in time.
+    boost::asio::awaitable<bool> tellSpending(ProgramId program);
     // The gateways that are told what a stream of a kept turn says, among those whose failure
     // domains are in the allowed regions; all if there are none.
     std::vector<HostName> outputKeepers(const CallId &stream,
--- a/basilhall/gateway/program_home_test.cpp
+++ b/basilhall/gateway/program_home_test.cpp
@@ -105,3 +105,64 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace
+{
+
+// Two holders that each write their own records.
+struct WritingHolders : MeshFixture {
+    WritingHolders()
+    {
+        const std::vector<Member> members{first->mesh.member(), second->mesh.member()};
+        for (const auto &node : {first, second}) {
+            node->keeper.setLoaded();
+            node->keeper.setLedgerKnown();
+            node->mesh.setMembers(members);
+        }
+        strong = middle = weak = first;
+        flushUntil([this] {
+            second->mesh.flush();
+            return first->mesh.hasHolderWithLedger() && second->mesh.hasHolderWithLedger()
+                && first->mesh.isHolder() && second->mesh.isHolder();
+        });
+    }
+
+    std::shared_ptr<MeshNode> first = std::make_shared<MeshNode>(context, objects, "first", 200);
+    std::shared_ptr<MeshNode> second =
+        std::make_shared<MeshNode>(context, objects, "second", 190, "b");
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(gateway_lost_home, WritingHolders)
+
+// The record of a turn was held back, the turn ended, and its home was lost before the next update:
+// the next home did not count the turn, and each further loss could forget one more.
+BOOST_AUTO_TEST_CASE(turnThatEndsWithoutARecordIsNotForgottenWithItsHome)
+{
+    turns::TurnBudget turn{ProgramId("p"), kTeam, kBudget, kMaxTurnTokens};
+    for (int i = 0; second->state.budgets().home(turn.program) != Incarnation("second-1"); ++i) {
+        turn.program = ProgramId("p" + std::to_string(i));
+        (void)askHome(*second, turn);
+    }
+    const auto one = second->state.budgets().admit(turn, MonotonicClock().now());
+    BOOST_TEST((one == turns::Admission::Admitted));
+    second->isStoreSilent = true;
+    runCoroutine(context, [&]() -> asio::awaitable<void> {
+        const Result<void> covered = co_await second->keeper.coverEnd(turn.program, 100ms);
+        BOOST_TEST(covered.has_value());
+    });
+    second->state.budgets().settle(turn.program, kMaxTurnTokens, kMaxTurnTokens,
+                                   MonotonicClock().now());
+    second->mesh.close();
+    flushUntil([this] { return first->mesh.reachableCount() == 0; });
+    first->mesh.setMembers({});
+    int count = 0;
+    for (int i = 0; i < 8; ++i) {
+        const auto admission = admit(*first, turn);
+        count += admission && admission.value() == turns::Admission::Admitted ? 1 : 0;
+    }
+    BOOST_TEST(count == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/basilhall/gateway/testing/mesh_fixture.h
+++ b/basilhall/gateway/testing/mesh_fixture.h
@@ -99,6 +99,8 @@
             return mesh.findTurn(std::move(id), scope);
         });
         keeper.setAnnounce([this](const journal::TurnKept &turn) { mesh.announce(turn); });
+        keeper.setTellSpending(
+            [this](ProgramId program) { return mesh.tellSpending(std::move(program)); });
     }
 
     metrics::Registry registry;
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -543,6 +543,7 @@
     CommitFailures commitFailures;
     std::optional<Instant> relayFailedAt;
     Announce announce;
+    TellSpending tellSpending;
     SearchPeers searchPeers;
     // Programs with records in this journal. Only these are included in the ledger.
     std::set<ProgramId> recordedPrograms;
@@ -590,6 +591,11 @@
     d->announce = std::move(announce);
 }
 
+void TurnKeeper::setTellSpending(TellSpending tellSpending)
+{
+    d->tellSpending = std::move(tellSpending);
+}
+
 void TurnKeeper::saveLedger()
 {
     if (d->hasDurableLedger) {
@@ -643,6 +649,25 @@
     co_return co_await Private::writeSpends(self, std::move(spends), timeout);
 }
 
+asio::awaitable<Result<void>> TurnKeeper::coverEnd(ProgramId program, Duration timeout)
+{
+    const auto self = d;
+    Result<void> covered =
+        Error(ErrorKind::StoreUnavailable, "neither store nor peers accept records");
+    if (canPersist()) {
+        std::vector<turns::SpendReport> spends;
+        spends.push_back(self->state.budgets().record(program));
+        covered = co_await Private::writeSpends(self, std::move(spends), timeout);
+    }
+    if (!covered && self->tellSpending) {
+        const auto tell = self->tellSpending;
+        if (co_await tell(program)) {
+            co_return success();
+        }
+    }
+    co_return covered;
+}
+
 void TurnKeeper::coverSoon(const ProgramId &program)
 {
     d->programsToCover.insert(program);
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -68,6 +68,8 @@
     // Passes records to the gateway that writes for several others.
     using Commit =
         std::function<boost::asio::awaitable<CommitOutcome>(std::vector<journal::Record>)>;
+    // Tells another gateway what the program has spent here; true once it knows.
+    using TellSpending = std::function<boost::asio::awaitable<bool>(ProgramId)>;
     // Called for each turn that this process keeps, before the turn is durable.
     using Announce = std::function<void(const journal::TurnKept &)>;
 
@@ -84,6 +86,7 @@
     void setRelay(Relay relay);
     void setCommit(Commit commit);
     void setAnnounce(Announce announce);
+    void setTellSpending(TellSpending tellSpending);
     void setSearchPeers(SearchPeers searchPeers);
     // True if this process has kept a turn.
     bool hasKeptTurns() const;
@@ -114,7 +117,12 @@
     boost::asio::awaitable<Result<void>> keep(turns::KeptTurn turn, Duration timeout);
     // Makes a record durable that covers what the program has spent and has in flight.
     boost::asio::awaitable<Result<void>> cover(ProgramId program, Duration timeout);
-    // The same in the background, so that the next turn of the program does not have to wait.
+    // Call it before a turn of this home ends. Makes a record durable that covers the turn or, if
+    // that is not possible in time, tells another holder, so that the loss of this host does not
+    // forget the turn. Returns why neither was possible.
+    boost::asio::awaitable<Result<void>> coverEnd(ProgramId program, Duration timeout);
+    // The same as cover() in the background, so that the next turn of the program does not have to
+    // wait.
     void coverSoon(const ProgramId &program);
     // Writes new records of programs whose durable record counts too much; call it periodically.
     void coverOvercounted();
--- a/basilhall/turns/budget_ledger.cpp
+++ b/basilhall/turns/budget_ledger.cpp
@@ -318,6 +318,12 @@
     return changes;
 }
 
+SpendReport BudgetLedger::localReport(const ProgramId &program)
+{
+    const auto found = m_programs.find(program);
+    return found == m_programs.end() ? SpendReport{program, {}} : report(program, found->second);
+}
+
 std::vector<SpendReport> BudgetLedger::localReports()
 {
     std::vector<SpendReport> reports;
--- a/basilhall/turns/budget_ledger.h
+++ b/basilhall/turns/budget_ledger.h
@@ -125,6 +125,8 @@
     std::vector<ProgramId> overcountedPrograms();
     // Returns the local reports that changed since the last call, to send to peers.
     std::vector<SpendReport> takeChanges();
+    // Returns the local report of a program, whether it has changed or not.
+    SpendReport localReport(const ProgramId &program);
     // Returns all local reports, to send to a peer that has just connected.
     std::vector<SpendReport> localReports();
     // Returns, for each program, its home and an upper bound of the tokens that all incarnations
