--- a/basilhall/gateway/stream_outputs_test.cpp
+++ b/basilhall/gateway/stream_outputs_test.cpp
@@ -37,7 +37,7 @@
     std::shared_ptr<CallContext> call(const std::string &id, const std::string &continues = "",
                                       std::optional<std::uint64_t> lastEvent = std::nullopt) const
     {
-        const auto made = std::make_shared<CallContext>();
+        auto made = std::make_shared<CallContext>();
         made->route = &route;
         made->call.id = CallId(id);
         made->call.continues = CallId(continues);
