Kept turns: a turn above the size of a record is kept as a chain of smaller ones

Ruled out: a limit of messages between gateways (8 MiB).

Change: TurnKeeper::keep splits a turn of more than 512 KiB into a chain of smaller turns that make the same prompt; the last one has the identifier of the turn and becomes durable last. Nothing else has to know of pieces: journals, indexes, announcements, removal, readers of an earlier version. Small turns stay one record. Related: a chain above 8 MiB could not be fetched from a peer, so a gateway that is no holder refused it each time; it is now fetched in several replies.

--- a/basilhall/gateway/internal/peer_requests.cpp
+++ b/basilhall/gateway/internal/peer_requests.cpp
@@ -23,6 +23,9 @@
 // Time limit for making the records of a peer durable; the object API answers within a few
 // milliseconds.
 constexpr Duration kKeepTimeout = std::chrono::milliseconds(800);
+// Size of the turns in one reply, newest first; the peer asks for those before them. Below the
+// limit of a message, 8 MiB, by more than the other fields take.
+constexpr std::size_t kMaxTurnReplyBytes = 7UL * 1024 * 1024;
 
 wire::AdmitVerdict verdictOf(turns::Admission admission)
 {
@@ -258,8 +261,14 @@
         content = co_await readContent(id);
     }
     if (m_state.turns().hasWholeChain(id)) {
+        std::size_t bytes = 0;
         for (const turns::KeptTurn &kept : m_state.turns().chain(id)) {
-            *reply.add_turns() = toRecord(kept);
+            journal::TurnKept record = toRecord(kept);
+            bytes += record.ByteSizeLong();
+            if (reply.turns_size() > 0 && bytes > kMaxTurnReplyBytes) {
+                break;
+            }
+            *reply.add_turns() = std::move(record);
         }
         co_return reply.SerializeAsString();
     }
--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -27,6 +27,7 @@
 #include "basilhall/transport/signal.h"
 #include "basilhall/transport/stream_client.h"
 #include "basilhall/transport/stream_server.h"
+#include "basilhall/turns/pinned_turns.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -644,23 +645,50 @@
         if (!peer) {
             co_return std::nullopt;
         }
-        wire::TurnRequest request;
-        request.set_turn_id(id.value());
-        request.set_confirm(mayReadJournals);
-        const auto message = co_await self->sendRequest(
-            peer->member.address, kTurnMethod, request.SerializeAsString(), kRequestTimeout);
-        wire::TurnReply reply;
-        // A process that replaced the peer on its host does not know the turns of its predecessor.
-        if (!message || !reply.ParseFromString(*message)
-            || reply.incarnation() != incarnation.value()) {
-            co_return std::nullopt;
+        // Of what was received, nothing is dropped before the whole chain is here.
+        std::vector<std::unique_ptr<turns::PinnedTurns>> received;
+        turns::TurnId wanted = id;
+        while (true) {
+            wire::TurnRequest request;
+            request.set_turn_id(wanted.value());
+            request.set_confirm(mayReadJournals);
+            const auto message = co_await self->sendRequest(
+                peer->member.address, kTurnMethod, request.SerializeAsString(), kRequestTimeout);
+            wire::TurnReply reply;
+            // A process that replaced the peer on its host does not know the turns of its
+            // predecessor.
+            if (!message || !reply.ParseFromString(*message)
+                || reply.incarnation() != incarnation.value()) {
+                co_return std::nullopt;
+            }
+            received.push_back(self->addTurns(reply));
+            const bool isFound = reply.turns_size() > 0;
+            if (!isFound && wanted != id) {
+                co_return std::nullopt;
+            }
+            const std::string previous =
+                isFound ? reply.turns(reply.turns_size() - 1).previous_turn_id() : std::string();
+            if (previous.empty() || self->state.turns().hasWholeChain(id)) {
+                co_return TurnFinder::Reply{
+                    isFound, reply.complete(), {reply.members().begin(), reply.members().end()}};
+            }
+            // The chain is longer than a reply.
+            wanted = turns::TurnId(previous);
+        }
+    }
+
+    // Adds the turns of a reply; they stay in memory for as long as the returned object exists.
+    std::unique_ptr<turns::PinnedTurns> addTurns(const wire::TurnReply &reply)
+    {
+        std::vector<turns::TurnId> ids;
+        for (const journal::TurnKept &turn : reply.turns()) {
+            ids.emplace_back(turn.turn_id());
         }
+        auto pinned = std::make_unique<turns::PinnedTurns>(state.turns(), std::move(ids));
         for (const journal::TurnKept &turn : reply.turns()) {
-            self->keeper.addTurn(turn);
+            keeper.addTurn(turn);
         }
-        co_return TurnFinder::Reply{reply.turns_size() > 0,
-                                    reply.complete(),
-                                    {reply.members().begin(), reply.members().end()}};
+        return pinned;
     }
 
     static asio::awaitable<bool> confirmAllTurns(std::shared_ptr<Private> self)
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -22,6 +22,7 @@
 #include "basilhall/journal/writer.h"
 #include "basilhall/metrics/registry.h"
 #include "basilhall/turns/pinned_turns.h"
+#include "basilhall/turns/turn_pieces.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -73,6 +74,12 @@
 // object API takes some 2.6 MB a second even when an answer takes 240 ms. Each waiting turn is in
 // memory several times: the request, the record and its batch.
 constexpr std::size_t kMaxWaitingBytes = 4UL * 1024 * 1024;
+// Larger turns are kept in pieces of this size.
+constexpr std::size_t kMaxPieceBytes = 512UL * 1024;
+static_assert(kMaxPieceBytes + 64UL * 1024 <= journal::kMaxBatchBytes,
+              "A record with the identifiers of a piece has to fit into a batch.");
+// Pieces that one message to the writing gateway contains; half of what a message may be.
+constexpr std::size_t kPiecesPerWrite = 8;
 
 } // namespace
 
@@ -627,18 +634,36 @@
 {
     const auto self = d;
     self->hasKeptTurns = true;
-    const turns::PinnedTurns pinned(self->state.turns(), {turn.id});
+    const Instant deadline = Private::now() + timeout;
     BufferedBytes waiting(self->waitingBytes);
     waiting.set(turn.input.size() + turn.output.size());
-    journal::Record record;
-    *record.mutable_turn_kept() = toRecord(turn);
-    if (self->announce) {
-        self->announce(record.turn_kept());
-    }
-    self->state.turns().add(std::move(turn));
-    std::vector<journal::Record> records;
-    records.push_back(std::move(record));
-    co_return co_await Private::write(self, std::move(records), timeout);
+    std::vector<turns::KeptTurn> pieces = turns::splitTurn(std::move(turn), kMaxPieceBytes);
+    std::vector<turns::TurnId> ids;
+    for (const turns::KeptTurn &piece : pieces) {
+        ids.push_back(piece.id);
+    }
+    const turns::PinnedTurns pinned(self->state.turns(), std::move(ids));
+    std::vector<std::vector<journal::Record>> writes;
+    for (turns::KeptTurn &piece : pieces) {
+        if (writes.empty() || writes.back().size() == kPiecesPerWrite) {
+            writes.emplace_back();
+        }
+        journal::Record &record = writes.back().emplace_back();
+        *record.mutable_turn_kept() = toRecord(piece);
+        if (self->announce) {
+            self->announce(record.turn_kept());
+        }
+        self->state.turns().add(std::move(piece));
+    }
+    // The last record makes the turn exist, so the others are durable before it.
+    for (std::vector<journal::Record> &records : writes) {
+        const Result<void> done =
+            co_await Private::write(self, std::move(records), deadline - Private::now());
+        if (!done) {
+            co_return done;
+        }
+    }
+    co_return success();
 }
 
 asio::awaitable<Result<void>> TurnKeeper::cover(ProgramId program, Duration timeout)
--- a/basilhall/gateway/turn_keeper.h
+++ b/basilhall/gateway/turn_keeper.h
@@ -115,8 +115,8 @@
     bool acceptsTurns() const;
     // Makes the turn durable. StoreUnavailable after `timeout`; the turn may still become durable.
     boost::asio::awaitable<Result<void>> keep(turns::KeptTurn turn, Duration timeout);
-    // Makes a record durable that covers what the program has spent and has in flight. Fails at once
-    // while neither the object API nor a peer accepts records.
+    // Makes a record durable that covers what the program has spent and has in flight. Fails at
+    // once while neither the object API nor a peer accepts records.
     boost::asio::awaitable<Result<void>> cover(ProgramId program, Duration timeout);
     // Call it before a turn of this home ends. Makes a record durable that covers the turn or, if
     // that is not possible in time, tells another holder, so that the loss of this host does not
