--- a/basilhall/gateway/peer_mesh.cpp
+++ b/basilhall/gateway/peer_mesh.cpp
@@ -257,6 +257,7 @@
             co_return;
         }
         const std::shared_ptr<Peer> peer = peerOf(Incarnation(request.incarnation()));
+        // A home that asks for what this gateway knows announces nothing.
         const bool isAnnouncement = request.candidacy() != 0;
         if (!peer || (isAnnouncement && !isHolderAmong(peer->member))) {
             // This gateway could not choose it, so it must not count this one as told.
--- a/basilhall/gateway/turn_keeper.cpp
+++ b/basilhall/gateway/turn_keeper.cpp
@@ -639,6 +639,7 @@
     waiting.set(turn.input.size() + turn.output.size());
     std::vector<turns::KeptTurn> pieces = turns::splitTurn(std::move(turn), kMaxPieceBytes);
     std::vector<turns::TurnId> ids;
+    ids.reserve(pieces.size());
     for (const turns::KeptTurn &piece : pieces) {
         ids.push_back(piece.id);
     }
